--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"lilacfront/balance"
+	"ternstage/balance"
 )
 
 // printer carries out the module's actions by printing them.
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"lilacfront/balance"
-	"lilacfront/internal/wire"
+	"ternstage/balance"
+	"ternstage/internal/wire"
 )
 
 func main() {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -7,8 +7,8 @@
 	"strings"
 	"testing"
 
-	"lilacfront/balance"
-	"lilacfront/internal/wire"
+	"ternstage/balance"
+	"ternstage/internal/wire"
 )
 
 const settingsText = `{"balancers": 2, "categories": [{"aim_ms": 500, "deadline_ms": 1000, "effect": "read_like",
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"lilacfront/balance"
+	"ternstage/balance"
 )
 
 type settingsText struct {
