--- /dev/null
+++ b/cmd/ternstage/main.go
@@ -0,0 +1,136 @@
+// Command ternstage is the broker: it wires the fronts, the core with its decision module, the back ends and
+// discovery to one loop.
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"ternstage/internal/clients"
+	"ternstage/internal/config"
+	"ternstage/internal/core"
+	"ternstage/internal/discovery"
+	"ternstage/internal/leafs"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+)
+
+const (
+	memoryShare = 0.6    // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
+	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
+	leafShare   = 4      // one in so many of the others is for leafs
+	takeOn      = 450.0  // ms after SIGTERM in which clients still come: connections are kept open for them
+	listenOn    = 650.0  // ms after SIGTERM until the listener closes
+	exitBy      = 60_000 // ms after SIGTERM at the latest
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "ternstage:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := config.Load()
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
+	log := logs.New(os.Stderr, cfg.Name)
+	defer log.Close()
+
+	l, err := loop.New()
+	if err != nil {
+		return err
+	}
+	clock := &waker{Loop: l}
+	clock.timer = l.NewTimer(func() {}) // a wake-up is all it is for: the turn follows every one
+	c, err := core.New(cfg.Module, cfg.Seed, core.Options{MaxOpen: cfg.MaxOpen, Clock: clock, Log: log})
+	if err != nil {
+		return err
+	}
+	files := cfg.Sockets - spareFiles
+	nodes := discovery.NewNodes(cfg.Zones)
+	pool := leafs.NewPool(l, c, log, leafs.Options{PerCall: cfg.Module.PerCall, Streams: cfg.Streams,
+		DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
+	watch := discovery.NewWatcher(l, c, log, nodes, cfg.Discovery)
+	c.Attach(pool, watch)
+	watch.Known(cfg.Known)
+	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen, files-files/leafShare,
+		func() bool { return nodes.Size() > 0 })
+	if err != nil {
+		return err
+	}
+	l.OnTurn(c.Turn)
+
+	stop := &stopper{loop: l, core: c, server: server}
+	stop.timer = l.NewTimer(stop.step)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, unix.SIGTERM, unix.SIGINT)
+	go func() {
+		<-signals
+		l.Post(stop.begin)
+	}()
+	log.Info("serving", zap.String("listen", cfg.Listen), zap.Int("known", nodes.Size()))
+	if err := l.Run(); err != nil {
+		return err
+	}
+	taken, ends := c.Counts()
+	pool.Close()
+	watch.Close()
+	log.Info("stopped", zap.Uint64("taken", taken), zap.Uint64("answered", ends[core.Answered]),
+		zap.Uint64("refused", ends[core.Refused]), zap.Uint64("failed", ends[core.Failed]))
+	return nil
+}
+
+// waker is the loop as core sees it: one timer for all that core waits for.
+type waker struct {
+	*loop.Loop
+	timer *loop.Timer
+}
+
+// WakeAt implements core.Clock.
+func (w *waker) WakeAt(at float64) { w.timer.Sooner(at) }
+
+// stopper ends the program after SIGTERM: it serves on while clients still come, answers all that is taken
+// and exits.
+type stopper struct {
+	loop   *loop.Loop
+	core   *core.Core
+	server *clients.Server
+	timer  *loop.Timer
+	began  float64
+}
+
+func (s *stopper) begin() {
+	if s.began == 0 {
+		s.began = s.loop.Now()
+		s.server.Drain()
+		s.step()
+	}
+}
+
+func (s *stopper) step() {
+	const every = 10.0
+	past := s.loop.Now() - s.began
+	if past >= takeOn {
+		s.server.EndIdle()
+	}
+	if past >= listenOn {
+		s.server.StopListening()
+		if s.core.Open() == 0 && s.server.Open() == 0 || past >= exitBy {
+			s.loop.Stop()
+			return
+		}
+	}
+	s.timer.Set(s.loop.Now() + every)
+}
--- /dev/null
+++ b/internal/clients/server.go
@@ -0,0 +1,334 @@
+package clients
+
+import (
+	"errors"
+	"math"
+
+	"golang.org/x/sys/unix"
+
+	"ternstage/internal/contract"
+	"ternstage/internal/core"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+)
+
+// Core is what the front asks of core.
+type Core interface {
+	Take(*core.Request) error
+	Left(*core.Request)
+}
+
+const (
+	maxIn      = maxHead + 2*maxBody // bytes a connection holds unparsed: chunking may double a small body
+	slowMost   = 10_000.0            // ms that a request may take to arrive whole
+	halfClose  = 20.0                // ms after a request in which an end of the client's side is a half-close
+	acceptRest = 50.0                // ms without accepting after EMFILE: guards against a spin
+	tendEvery  = 1000.0
+	acceptMost = 256 // connections taken in one wake-up
+)
+
+// Server is the HTTP front.
+type Server struct {
+	loop     *loop.Loop
+	core     Core
+	book     *contract.Book
+	log      *logs.Log
+	ready    func() bool
+	most     int
+	fd       int
+	conns    map[*conn]struct{}
+	timer    *loop.Timer // looks after slow clients
+	again    *loop.Timer // accepts again
+	draining bool
+	onIdle   func()
+}
+
+// NewServer listens. ready tells whether the program serves; most is how many connections it may hold.
+func NewServer(l *loop.Loop, c Core, b *contract.Book, log *logs.Log, address string, most int,
+	ready func() bool) (*Server, error) {
+	fd, err := loop.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{loop: l, core: c, book: b, log: log, ready: ready, most: max(most, 1), fd: fd,
+		conns: map[*conn]struct{}{}}
+	s.timer, s.again = l.NewTimer(s.tend), l.NewTimer(s.accept)
+	if err := l.Add(fd, unix.EPOLLIN, s); err != nil {
+		return nil, err
+	}
+	s.timer.Set(l.Now() + tendEvery)
+	return s, nil
+}
+
+// Ready implements loop.Handler: connections wait to be taken.
+func (s *Server) Ready(uint32) { s.accept() }
+
+func (s *Server) accept() {
+	if s.fd < 0 {
+		return
+	}
+	for range acceptMost {
+		if len(s.conns) >= s.most && !s.makeRoom() {
+			s.rest()
+			return
+		}
+		fd, err := loop.Accept(s.fd)
+		switch {
+		case err == nil:
+			s.take(fd)
+		case errors.Is(err, unix.EAGAIN):
+			s.loop.Want(s.fd, unix.EPOLLIN)
+			return
+		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
+		default: // EMFILE and its like
+			if !s.makeRoom() {
+				s.rest()
+				return
+			}
+		}
+	}
+	s.loop.Want(s.fd, unix.EPOLLIN)
+}
+
+// rest stops accepting for a while; waiting connections stay in the kernel's queue.
+func (s *Server) rest() {
+	s.loop.Want(s.fd, 0)
+	s.again.Set(s.loop.Now() + acceptRest)
+}
+
+func (s *Server) take(fd int) {
+	c := &conn{server: s, peer: peerOf(fd), since: s.loop.Now()}
+	stream, err := loop.NewStream(s.loop, fd, unix.EPOLLIN|unix.EPOLLRDHUP, c)
+	if err != nil {
+		s.log.Conn(logs.ClientRefused, c.peer, 0, err)
+		return
+	}
+	c.s = stream
+	s.conns[c] = struct{}{}
+}
+
+// makeRoom closes the connection that has stood idle longest: a client opens a new one when it needs one.
+func (s *Server) makeRoom() bool {
+	var idle *conn
+	for c := range s.conns {
+		if c.quiet() && (idle == nil || c.since < idle.since) {
+			idle = c
+		}
+	}
+	if idle == nil {
+		return false
+	}
+	idle.close(logs.ClientIdle, nil)
+	return true
+}
+
+// tend ends requests that do not come whole in time.
+func (s *Server) tend() {
+	now := s.loop.Now()
+	for c := range s.conns {
+		if c.open == nil && !c.quiet() && now-c.since > slowMost {
+			c.close(logs.ClientSlow, nil)
+		}
+	}
+	s.timer.Set(now + tendEvery)
+}
+
+// Drain makes every answer from now on the last of its connection.
+func (s *Server) Drain() { s.draining = true }
+
+// StopListening takes what the kernel has accepted for us and closes the listener and idle connections.
+func (s *Server) StopListening() {
+	if s.fd < 0 {
+		return
+	}
+	s.accept()
+	s.loop.Close(s.fd)
+	s.fd = -1
+	s.again.Stop()
+	s.EndIdle()
+}
+
+// EndIdle closes connections between requests, after a last look at what has come on them.
+func (s *Server) EndIdle() {
+	for c := range s.conns {
+		if c.quiet() {
+			c.Ready(unix.EPOLLIN)
+		}
+		if !c.closed && c.quiet() {
+			c.close(logs.Shutdown, nil)
+		}
+	}
+}
+
+// Open is how many connections there are.
+func (s *Server) Open() int { return len(s.conns) }
+
+// conn is a client's connection.
+type conn struct {
+	server *Server
+	s      *loop.Stream
+	peer   string
+	open   *core.Request // the request being answered; the next ones wait in the buffer
+	taken  float64       // when it was taken
+	last   bool          // the connection ends once all is written
+	ended  bool          // the client has ended its side
+	closed bool
+	more   bool // read-ahead requests are about to be parsed
+	cont   bool // 100 Continue has been sent for the request that is coming
+	served int
+	since  float64 // of the last byte or answer
+}
+
+// quiet tells that nothing is under way on the connection.
+func (c *conn) quiet() bool {
+	return c.open == nil && len(c.s.In) == 0 && len(c.s.Out) == 0 && !c.closed
+}
+
+// Ready implements loop.Handler.
+func (c *conn) Ready(events uint32) {
+	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && events&unix.EPOLLIN == 0 {
+		c.gone(loop.Failure(c.s.FD))
+		return
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0 && !c.ended {
+		eof, err := c.s.Read(maxIn)
+		if err != nil {
+			c.gone(err)
+			return
+		}
+		c.since = c.server.loop.Now()
+		c.ended = eof
+		if c.parse(); c.closed {
+			return
+		}
+		if eof && c.finish() {
+			return
+		}
+	}
+	c.write()
+}
+
+// finish deals with the end of the client's side; true if the connection has ended. A client that ends its
+// side along with its request still reads; one that does so later has gone away.
+func (c *conn) finish() bool {
+	now := c.server.loop.Now()
+	switch {
+	case c.open != nil && now-c.taken > halfClose:
+		c.gone(nil)
+	case c.open == nil && len(c.s.Out) == 0:
+		c.close(logs.ClientEnded, nil)
+	default:
+		c.last = c.last || c.open == nil
+		return false
+	}
+	return true
+}
+
+// gone ends a connection that its client has left.
+func (c *conn) gone(err error) {
+	code := logs.ClientEnded
+	if r := c.open; r != nil {
+		c.open, code = nil, logs.ClientGone
+		c.server.core.Left(r)
+	}
+	c.close(code, err)
+}
+
+// parse takes the next request, if none is being answered.
+func (c *conn) parse() {
+	for c.open == nil && !c.last && !c.closed && len(c.s.In) > 0 {
+		m, size, err := parse(c.s.In)
+		switch {
+		case err != nil:
+			status := 400
+			if errors.Is(err, errTooLarge) {
+				status = 413
+			} else if errors.Is(err, errHead) {
+				status = 431
+			}
+			c.reject(status, err)
+			return
+		case size == 0:
+			if len(c.s.In) >= maxIn {
+				c.reject(413, errTooLarge)
+			} else if m != nil && m.expect && !c.cont {
+				c.cont = true
+				c.s.Out = append(c.s.Out, "HTTP/1.1 100 Continue\r\n\r\n"...)
+			}
+			return
+		}
+		c.cont = false
+		c.serve(m)
+		if !c.closed {
+			c.s.Consume(size)
+		}
+	}
+}
+
+// reject answers what cannot be read on from, and closes.
+func (c *conn) reject(status int, err error) {
+	c.server.log.Conn(logs.ClientMalformed, c.peer, c.served, err)
+	c.s.In = nil
+	c.reply(response{status: status, body: errorBody(err), close: true})
+}
+
+func (c *conn) write() {
+	if c.closed {
+		return
+	}
+	if err := c.s.Flush(); err != nil {
+		c.gone(err)
+		return
+	}
+	if len(c.s.Out) == 0 && c.open == nil && !c.more && (c.last || c.ended) {
+		c.close(logs.ClientDone, nil)
+		return
+	}
+	// While a request is open only so much is read ahead: guards memory against endless pipelining.
+	want := uint32(0)
+	if len(c.s.In) < maxIn && !c.ended {
+		want = unix.EPOLLIN | unix.EPOLLRDHUP
+	}
+	if len(c.s.Out) > 0 {
+		want |= unix.EPOLLOUT
+	}
+	c.s.Want(want)
+}
+
+// reply writes the answer to the request that was read last.
+func (c *conn) reply(r response) {
+	c.served++
+	c.since = c.server.loop.Now()
+	c.last = c.last || r.close || c.server.draining
+	r.close = c.last
+	c.s.Out = r.append(c.s.Out)
+}
+
+func (c *conn) close(code logs.Code, err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	delete(c.server.conns, c)
+	if c.last && err == nil {
+		// What the client still sends would turn our close into a reset that destroys the answer unread.
+		_ = unix.Shutdown(c.s.FD, unix.SHUT_WR)
+		var b [4096]byte
+		for n := 1; n > 0; {
+			n, _ = unix.Read(c.s.FD, b[:])
+		}
+	}
+	c.s.Close()
+	c.server.log.Conn(code, c.peer, c.served, err)
+}
+
+// retryAfterOf is the advice of a refusal; at least a millisecond, the header's finest step.
+func retryAfterOf(a core.Answer) float64 { return max(math.Ceil(a.RetryAfter), 1) }
+
+func peerOf(fd int) string {
+	sa, err := unix.Getpeername(fd)
+	if err != nil {
+		return ""
+	}
+	return addressOf(sa)
+}
--- /dev/null
+++ b/internal/contract/contract.go
@@ -0,0 +1,163 @@
+// Package contract is what the broker has agreed with the teams it stands between: the classes of query it
+// takes, the tenants and their budgets, and the form of a query. Both fronts read queries with it, so that
+// both keep the same contracts.
+package contract
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"ternstage/internal/core"
+)
+
+// What a query can get wrong, for a front to map.
+var (
+	ErrMalformed = errors.New("malformed query")
+	ErrClass     = errors.New("no contract for this class")
+	ErrTenant    = errors.New("no budget for this tenant")
+)
+
+// Class is the contract of one class of query.
+type Class struct {
+	Name       string  `json:"name"`
+	Effect     string  `json:"effect"`
+	AimMS      float64 `json:"aim_ms"`
+	DeadlineMS float64 `json:"deadline_ms"`
+	MinShare   float64 `json:"min_share"`
+}
+
+// Tenant is the budget of one tenant, in queries a second over all brokers.
+type Tenant struct {
+	Name      string  `json:"name"`
+	Allowance float64 `json:"allowance_per_s"`
+}
+
+// Book holds all contracts and what has been taken under them.
+type Book struct {
+	Classes []Class
+	Tenants []Tenant
+	Marks   bool // clients mark retries
+	Taken   []uint64
+	class   map[string]int
+	tenant  map[string]int
+}
+
+// NewBook makes the book of these contracts.
+func NewBook(classes []Class, tenants []Tenant, marks bool) *Book {
+	b := &Book{Classes: classes, Tenants: tenants, Marks: marks, Taken: make([]uint64, len(tenants)),
+		class: map[string]int{}, tenant: map[string]int{}}
+	for i, c := range classes {
+		b.class[c.Name] = i
+	}
+	for i, t := range tenants {
+		b.tenant[t.Name] = i
+	}
+	return b
+}
+
+type body struct {
+	Shards []struct {
+		Shard  *int     `json:"shard"`
+		Weight *float64 `json:"weight"`
+		Cost   *float64 `json:"cost"`
+		Key    string   `json:"key"`
+	} `json:"shards"`
+	Q *string `json:"q"`
+}
+
+const (
+	maxName = 128 // bytes of a request id: it goes into every frame line
+	keySize = 16
+)
+
+// Envelope is what travels beside a query's body.
+type Envelope struct {
+	ID, Class, Tenant string
+	Wait              float64 // ms the client will wait, from arrival
+	Retry             bool
+}
+
+// Read makes a request of an envelope and a body, or says what is wrong with it.
+func (b *Book) Read(e Envelope, text []byte, now float64) (*core.Request, error) {
+	class, ok := b.class[e.Class]
+	if !ok {
+		return nil, fmt.Errorf("%w: %q", ErrClass, e.Class)
+	}
+	tenant, ok := b.tenant[e.Tenant]
+	if !ok && (len(b.Tenants) > 0 || e.Tenant != "") {
+		return nil, fmt.Errorf("%w: %q", ErrTenant, e.Tenant)
+	}
+	if !validName(e.ID) {
+		return nil, fmt.Errorf("%w: the request id is missing or not a word", ErrMalformed)
+	}
+	if !(e.Wait > 0) || math.IsInf(e.Wait, 0) {
+		return nil, fmt.Errorf("%w: the deadline is missing or not a positive time", ErrMalformed)
+	}
+	var in body
+	if err := json.Unmarshal(text, &in); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if in.Q == nil || len(in.Shards) == 0 {
+		return nil, fmt.Errorf("%w: q or shards missing", ErrMalformed)
+	}
+	r := &core.Request{Name: e.ID, Class: class, Tenant: tenant, Repeat: e.Retry && b.Marks,
+		Deadline: now + min(e.Wait, b.Classes[class].DeadlineMS), Text: []byte(*in.Q),
+		Parts: make([]core.Part, 0, len(in.Shards))}
+	for _, s := range in.Shards {
+		if s.Shard == nil || s.Weight == nil {
+			return nil, fmt.Errorf("%w: a part without shard or weight", ErrMalformed)
+		}
+		p := core.Part{Shard: *s.Shard, Weight: *s.Weight}
+		if s.Cost != nil {
+			p.Cost, p.Hinted = *s.Cost/1000, true
+		}
+		if s.Key != "" {
+			key, err := strconv.ParseUint(s.Key, 16, 64)
+			if err != nil || len(s.Key) != keySize {
+				return nil, fmt.Errorf("%w: key %q", ErrMalformed, s.Key)
+			}
+			p.Key = key
+		}
+		r.Parts = append(r.Parts, p)
+	}
+	if len(b.Taken) > 0 {
+		b.Taken[tenant]++
+	}
+	return r, nil
+}
+
+// validName guards the frames: the id stands in a line whose fields are split at spaces.
+func validName(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return s != "" && len(s) <= maxName
+}
+
+type hit struct {
+	Shard int    `json:"shard"`
+	Doc   string `json:"doc"`
+}
+
+type reply struct {
+	Complete bool  `json:"complete"`
+	Hits     []hit `json:"hits"`
+}
+
+// Body is the body of an answer that is served.
+func Body(a core.Answer) []byte {
+	out := reply{Complete: a.Whole, Hits: make([]hit, 0, len(a.Values))}
+	for _, v := range a.Values {
+		out.Hits = append(out.Hits, hit{v.Shard, string(v.Doc)})
+	}
+	text, err := json.Marshal(out)
+	if err != nil {
+		panic(err) // ints, bools and strings always marshal
+	}
+	return text
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,427 @@
+// Package core holds requests, attempts and outcomes between the fronts, the decision module and the back
+// ends. It knows no wire: a front hands in a Request and gets one Answer, a back end gets Attempts and
+// reports Outcomes. Every decision is the module's; core carries it out and sees to it that each request
+// gets exactly one final answer.
+package core
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"ternstage/balance"
+)
+
+// Kind is how a request ended for its client.
+type Kind uint8
+
+// The kinds of final answers.
+const (
+	Answered Kind = iota
+	Refused       // nothing ran that must not run twice: asking again is harmless
+	Failed        // no promise
+)
+
+// String names the kind in logs.
+func (k Kind) String() string { return [...]string{"answered", "refused", "failed"}[k] }
+
+// Value is what a node gave for a part.
+type Value struct {
+	Shard int
+	Doc   []byte
+}
+
+// Answer is the one final answer of a request.
+type Answer struct {
+	Kind       Kind
+	Whole      bool
+	Values     []Value
+	RetryAfter float64 // ms, on a refusal
+	TimedOut   bool    // a failure for want of time
+}
+
+// Client is where the final answer of a request goes.
+type Client interface {
+	// Finish is called exactly once, unless the client has left before.
+	Finish(Answer)
+}
+
+// Part is one shard's share of a request.
+type Part struct {
+	Shard  int
+	Key    uint64
+	Weight float64
+	Cost   float64 // expected work in ms
+	Hinted bool
+}
+
+// Request is a query as a front hands it in.
+type Request struct {
+	Name     string // the client's id for it: fresh for each
+	Class    int
+	Tenant   int
+	Deadline float64 // loop clock: when the client leaves
+	Repeat   bool
+	Parts    []Part
+	Text     []byte // what every part must carry
+	Client   Client
+
+	id     uint64
+	parts  []*part
+	unsafe bool
+	left   bool // its client has gone, and a part that must not run twice is still out
+}
+
+type part struct {
+	Part
+	id       uint64
+	req      *Request
+	attempts []*Attempt
+	value    []byte
+	in       bool
+}
+
+// Attempt is one try of a part at a node.
+type Attempt struct {
+	Request  string
+	Shard    int
+	Text     []byte
+	Node     uint32
+	Deadline float64 // loop clock: when the wait for it ends
+	Handle   any     // the back end's own
+
+	part  *part
+	no    int
+	sent  float64
+	ended bool
+}
+
+// Backend carries attempts to nodes. It must not call back into Core from within these methods: what it
+// learns at once it reports with Later.
+type Backend interface {
+	// Send starts an attempt. Attempts of one turn to one node may share a call.
+	Send(*Attempt)
+	// Flush ends the turn: what was sent goes out.
+	Flush()
+	// Abandon ends the wait for an attempt. It tells whether the attempt provably never ran nor will run.
+	Abandon(*Attempt) (neverRan bool)
+	// DropIdle closes idle connections to a node.
+	DropIdle(node uint32)
+}
+
+// List is where the list of nodes comes from.
+type List interface {
+	// Watch subscribes to changes; it does nothing while a watch runs.
+	Watch()
+}
+
+// Clock is the loop as core sees it.
+type Clock interface {
+	Now() float64
+	// WakeAt asks for a turn at that time at the latest.
+	WakeAt(at float64)
+}
+
+// Log takes the module's lines and what core has to say.
+type Log interface {
+	Module(text string)
+	Ended(r *Request, a Answer)
+}
+
+type result struct {
+	a       *Attempt
+	outcome balance.Outcome
+}
+
+// Core is one broker's state.
+type Core struct {
+	module  *balance.Balancer
+	classes []balance.Class
+	shards  int
+	tries   int
+	maxOpen int
+	retry   float64
+	clock   Clock
+	back    Backend
+	list    List
+	log     Log
+
+	nextID   uint64
+	requests map[uint64]*Request
+	parts    map[uint64]*part
+	out      map[*Attempt]struct{}
+	ending   []result // reported, and not yet told to the module
+	gone     []uint64 // requests whose clients left
+	open     int      // queries and parts held
+	timeout  float64  // no attempt out ends before
+	wakeAt   float64
+	taken    uint64
+	answered [3]uint64
+}
+
+// Options are what core needs beside the module's settings.
+type Options struct {
+	MaxOpen int // queries and parts held at most; 0 for no limit
+	Clock   Clock
+	Log     Log
+}
+
+// New makes the core and its module.
+func New(s balance.Settings, seed uint64, o Options) (*Core, error) {
+	c := &Core{classes: s.Classes, shards: s.Shards, tries: s.MaxAttempts, maxOpen: o.MaxOpen,
+		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{}, parts: map[uint64]*part{},
+		out: map[*Attempt]struct{}{}, timeout: math.Inf(1), wakeAt: math.Inf(1)}
+	m, err := balance.New(s, seed, c)
+	if err != nil {
+		return nil, fmt.Errorf("decision module: %w", err)
+	}
+	c.module = m
+	return c, nil
+}
+
+// Attach names the back end and the list.
+func (c *Core) Attach(back Backend, list List) { c.back, c.list = back, list }
+
+// ErrContract is wrapped by what Take says of a request that breaks its contract.
+var ErrContract = errors.New("the request breaks its contract")
+
+// Take takes a request. An error means that it was not taken: the front answers it.
+func (c *Core) Take(r *Request) error {
+	sum, seen := 0.0, make(map[int]bool, len(r.Parts))
+	for _, p := range r.Parts {
+		// A shard asked twice would give one part id two meanings at the node.
+		if p.Shard < 0 || p.Shard >= c.shards || seen[p.Shard] {
+			return fmt.Errorf("%w: shard %d is unknown or asked twice", ErrContract, p.Shard)
+		}
+		if !(p.Weight >= 0) || p.Weight > 1.001 {
+			return fmt.Errorf("%w: weight of shard %d", ErrContract, p.Shard)
+		}
+		seen[p.Shard] = true
+		sum += p.Weight
+	}
+	if len(r.Parts) == 0 || math.Abs(sum-1) > 0.01 {
+		return fmt.Errorf("%w: %d parts, weights that sum to %.3f", ErrContract, len(r.Parts), sum)
+	}
+	now := c.clock.Now()
+	c.taken++
+	// The stated limit of queries and parts held: beyond it the module does not see the query.
+	if c.maxOpen > 0 && c.open+1+len(r.Parts) > c.maxOpen {
+		c.end(r, Answer{Kind: Refused, RetryAfter: c.retry})
+		return nil
+	}
+	c.nextID++
+	r.id, r.unsafe = c.nextID, c.classes[r.Class].Effect == balance.Unsafe
+	group := int(r.id)
+	c.requests[r.id] = r
+	c.open += 1 + len(r.Parts)
+	c.module.QueryArrived(now, balance.Query{ID: r.id, Group: group, Class: r.Class, Tenant: r.Tenant,
+		Deadline: r.Deadline, Repeat: r.Repeat})
+	for _, p := range r.Parts {
+		c.nextID++
+		x := &part{Part: p, id: c.nextID, req: r}
+		r.parts, c.parts[x.id] = append(r.parts, x), x
+		c.module.PartArrived(now, balance.Part{ID: x.id, Group: group, Shard: p.Shard, Key: p.Key,
+			Weight: p.Weight, Hint: p.Cost, HasHint: p.Hinted})
+	}
+	return nil
+}
+
+// Left tells that the client of a request has gone. A part that must not run twice and may be running is
+// waited for all the same: its outcome is learnt and logged, and it is never sent again. Guards against a
+// cancel that crosses a good answer.
+func (c *Core) Left(r *Request) {
+	if c.requests[r.id] != r || r.left {
+		return
+	}
+	r.left = true
+	if r.unsafe && slices.ContainsFunc(r.parts, func(p *part) bool { return len(p.attempts) > 0 }) {
+		return
+	}
+	c.gone = append(c.gone, r.id)
+}
+
+// Ended reports the outcome of an attempt, once; later reports are ignored. value is what an OK brought.
+func (c *Core) Ended(a *Attempt, o balance.Outcome, value []byte) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if p := a.part; o == balance.OK && !p.in {
+		p.in, p.value = true, value
+	}
+	c.ending = append(c.ending, result{a, o})
+}
+
+// Later reports an outcome learnt while the back end was being called: the module hears of it next turn.
+func (c *Core) Later(a *Attempt, o balance.Outcome) {
+	c.Ended(a, o, nil)
+	c.clock.WakeAt(0)
+}
+
+// ListChanged passes the list on.
+func (c *Core) ListChanged(kind balance.ListKind, entries []balance.Entry) {
+	c.module.ListChanged(c.clock.Now(), kind, entries)
+}
+
+// Open is how many requests are held.
+func (c *Core) Open() int { return len(c.requests) }
+
+// Counts are the requests taken and the final answers by kind.
+func (c *Core) Counts() (taken uint64, answered [3]uint64) { return c.taken, c.answered }
+
+// Turn ends a wake-up: all that happened is told to the module, then it decides once, then it goes out.
+func (c *Core) Turn() {
+	now := c.clock.Now()
+	if now >= c.timeout {
+		c.expire(now)
+	}
+	// What the module does may end further attempts (a cancel); those wait for the next turn, as its own
+	// events come after its actions.
+	ending, gone := c.ending, c.gone
+	c.ending, c.gone = nil, nil
+	for _, e := range ending {
+		a := e.a
+		delete(c.out, a)
+		_, held := c.requests[a.part.req.id]
+		c.module.AttemptEnded(now, balance.Result{Part: a.part.id, Attempt: a.no, Replica: a.Node,
+			Outcome: e.outcome, Latency: now - a.sent, Final: e.outcome == balance.OK || !held})
+	}
+	for _, id := range gone {
+		if r := c.requests[id]; r != nil {
+			c.forget(r)
+			c.module.ClientGone(now, id)
+			c.log.Ended(r, Answer{Kind: Failed})
+		}
+	}
+	if now >= c.wakeAt {
+		c.wakeAt = math.Inf(1)
+		c.module.Woken(now)
+	}
+	c.module.EndTurn(now)
+	c.back.Flush()
+	next := min(c.wakeAt, c.timeout)
+	if len(c.ending) > 0 {
+		next = 0
+	}
+	if !math.IsInf(next, 1) {
+		c.clock.WakeAt(next)
+	}
+}
+
+// expire ends the attempts whose time is up: one scan for all, no timer for each.
+func (c *Core) expire(now float64) {
+	var due []*Attempt
+	c.timeout = math.Inf(1)
+	for a := range c.out {
+		if a.ended {
+			continue
+		}
+		if now >= a.Deadline {
+			due = append(due, a)
+		} else {
+			c.timeout = min(c.timeout, a.Deadline)
+		}
+	}
+	slices.SortFunc(due, func(x, y *Attempt) int { return int(int64(x.part.id) - int64(y.part.id)) })
+	for _, a := range due {
+		o := balance.TimedOut
+		if c.back.Abandon(a) {
+			o = balance.ConnectFailed // it never left us: proved never to have run
+		}
+		c.Ended(a, o, nil)
+	}
+}
+
+func (c *Core) forget(r *Request) {
+	delete(c.requests, r.id)
+	for _, p := range r.parts {
+		delete(c.parts, p.id)
+	}
+	c.open -= 1 + len(r.parts)
+}
+
+// finish gives the one final answer of a request that is held.
+func (c *Core) finish(id uint64, a Answer) {
+	r := c.requests[id]
+	if r == nil {
+		return
+	}
+	if a.Kind == Answered {
+		for _, p := range r.parts {
+			if p.in {
+				a.Values = append(a.Values, Value{p.Shard, p.value})
+			}
+		}
+	}
+	a.TimedOut = a.Kind == Failed && c.clock.Now() >= r.Deadline-100
+	c.forget(r)
+	c.end(r, a)
+}
+
+func (c *Core) end(r *Request, a Answer) {
+	c.answered[a.Kind]++
+	c.log.Ended(r, a)
+	if !r.left {
+		r.Client.Finish(a)
+	}
+}
+
+// Send implements balance.Actions; so do the methods below.
+func (c *Core) Send(id uint64, node uint32, timeout float64) {
+	p, now := c.parts[id], c.clock.Now()
+	if p == nil {
+		return
+	}
+	deadline := p.req.Deadline
+	if timeout != 0 {
+		deadline = min(deadline, now+timeout)
+	}
+	a := &Attempt{Request: p.req.Name, Shard: p.Shard, Text: p.req.Text, Node: node, Deadline: deadline,
+		part: p, no: len(p.attempts), sent: now}
+	p.attempts = append(p.attempts, a)
+	c.out[a] = struct{}{}
+	if c.tries > 0 && a.no >= c.tries || deadline <= now {
+		c.Later(a, balance.Moot)
+		return
+	}
+	c.timeout = min(c.timeout, deadline)
+	c.back.Send(a)
+}
+
+// Cancel stops waiting for an attempt.
+func (c *Core) Cancel(id uint64, attempt int) {
+	for a := range c.out {
+		if a.part.id == id && a.no == attempt && !a.ended {
+			c.back.Abandon(a)
+			c.Later(a, balance.Cancelled)
+			return
+		}
+	}
+}
+
+// DropIdle closes idle connections.
+func (c *Core) DropIdle(node uint32) { c.back.DropIdle(node) }
+
+// Answer answers a request from the parts that are in.
+func (c *Core) Answer(id uint64, whole bool) { c.finish(id, Answer{Kind: Answered, Whole: whole}) }
+
+// Refuse refuses a request.
+func (c *Core) Refuse(id uint64, after float64) {
+	c.finish(id, Answer{Kind: Refused, RetryAfter: after})
+}
+
+// Fail fails a request.
+func (c *Core) Fail(id uint64) { c.finish(id, Answer{Kind: Failed}) }
+
+// Wake asks for a turn.
+func (c *Core) Wake(after float64) { c.wakeAt = min(c.wakeAt, c.clock.Now()+after) }
+
+// Watch subscribes to the list.
+func (c *Core) Watch() { c.list.Watch() }
+
+// Tell has no way to go: the deployment has no messages between peers.
+func (c *Core) Tell([]byte) {}
+
+// Log writes the module's line.
+func (c *Core) Log(text string) { c.log.Module(text) }
--- /dev/null
+++ b/internal/discovery/watch.go
@@ -0,0 +1,270 @@
+package discovery
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ternstage/balance"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+)
+
+const (
+	waitMS     = 10_000 // of one watch call; long, as discovery serves calls in turn
+	answerMost = 4000.0 // ms beyond the wait: a call without an answer by then has failed
+	dialMost   = 1000.0 // ms
+	maxAnswer  = 64<<10 + 16<<10
+	path       = "/catalog/members"
+)
+
+// Core takes the list.
+type Core interface {
+	ListChanged(kind balance.ListKind, entries []balance.Entry)
+}
+
+// Watcher keeps the list up to date over one connection. It implements core.List.
+type Watcher struct {
+	loop     *loop.Loop
+	core     Core
+	log      *logs.Log
+	nodes    *Nodes
+	address  string
+	revision uint64
+	have     bool
+	s        *loop.Stream
+	up       bool
+	calling  bool // a call is out
+	calls    int
+	timer    *loop.Timer
+}
+
+// NewWatcher makes a watcher that asks nothing until Watch.
+func NewWatcher(l *loop.Loop, c Core, log *logs.Log, nodes *Nodes, address string) *Watcher {
+	w := &Watcher{loop: l, core: c, log: log, nodes: nodes, address: address}
+	w.timer = l.NewTimer(func() { w.fail(logs.DiscoveryTimeout, errors.New("no answer in time")) })
+	return w
+}
+
+// Known takes the list that the configuration carries: possibly old, hence cached.
+func (w *Watcher) Known(l List) {
+	w.revision, w.have = l.Revision, l.Revision > 0
+	l.Complete = true
+	w.core.ListChanged(balance.ListCached, w.nodes.Apply(l, w.shift()))
+}
+
+// shift takes a reading of the wall clock to the loop's.
+func (w *Watcher) shift() float64 { return w.loop.Clock() - float64(time.Now().UnixMicro())/1000 }
+
+// Watch implements core.List.
+func (w *Watcher) Watch() {
+	if w.calling {
+		return
+	}
+	w.calling = true
+	// The module calls from the middle of its turn; the answer, a failure too, comes from the loop.
+	w.loop.Post(w.call)
+}
+
+// call sends the next call of the watch, on the connection of the last if that is still open.
+func (w *Watcher) call() {
+	if w.s == nil {
+		fd, err := loop.Connect(w.address)
+		if err == nil {
+			w.s, err = loop.NewStream(w.loop, fd, unix.EPOLLIN|unix.EPOLLOUT|unix.EPOLLRDHUP, w)
+		}
+		if err != nil {
+			w.fail(logs.DiscoveryRefused, err)
+			return
+		}
+		w.up = false
+		w.timer.Set(w.loop.Now() + dialMost)
+	} else {
+		w.timer.Set(w.loop.Now() + waitMS + answerMost)
+	}
+	target := path
+	if w.have {
+		target = fmt.Sprintf("%s?index=%d&wait=%d", path, w.revision, waitMS)
+	}
+	w.s.Out = append(w.s.Out, "GET "+target+" HTTP/1.1\r\nHost: "+w.address+"\r\n\r\n"...)
+	w.write()
+}
+
+func (w *Watcher) write() {
+	if !w.up {
+		return
+	}
+	if err := w.s.Flush(); err != nil {
+		w.fail(logs.DiscoveryReset, err)
+		return
+	}
+	want := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
+	if len(w.s.Out) > 0 {
+		want |= unix.EPOLLOUT
+	}
+	w.s.Want(want)
+}
+
+// Ready implements loop.Handler.
+func (w *Watcher) Ready(events uint32) {
+	if !w.up {
+		if err := loop.Failure(w.s.FD); err != nil {
+			w.fail(logs.DiscoveryRefused, err)
+			return
+		}
+		if events&unix.EPOLLOUT == 0 {
+			return
+		}
+		w.up = true
+		w.timer.Set(w.loop.Now() + waitMS + answerMost)
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		eof, err := w.s.Read(maxAnswer)
+		s := w.s
+		if w.answer(); w.s != s {
+			return // it failed, and the connection is closed
+		}
+		switch {
+		case err != nil:
+			w.fail(logs.DiscoveryReset, err)
+			return
+		case eof && w.calling && w.s.Out == nil || eof && len(w.s.In) > 0:
+			w.fail(logs.DiscoveryEnded, nil)
+			return
+		case eof:
+			w.drop(logs.DiscoveryEnded, nil)
+			return
+		}
+	}
+	w.write()
+}
+
+// answer takes a whole answer, and goes on with the watch.
+func (w *Watcher) answer() {
+	status, body, size, last, err := parseAnswer(w.s.In)
+	if err == nil && size == 0 {
+		if len(w.s.In) >= maxAnswer {
+			w.fail(logs.DiscoveryBad, errors.New("answer over 64 KiB"))
+		}
+		return
+	}
+	if err == nil && !w.calling {
+		err = errors.New("an answer to no call")
+	}
+	if err == nil && status != 200 {
+		err = fmt.Errorf("status %d", status)
+	}
+	var l List
+	if err == nil {
+		l, err = ParseList(body)
+	}
+	if err != nil {
+		w.fail(logs.DiscoveryBad, err)
+		return
+	}
+	w.calls++
+	w.s.Consume(size)
+	kind := balance.ListDelta
+	if l.Complete {
+		kind = balance.ListFull
+	}
+	w.revision, w.have = l.Revision, true
+	w.core.ListChanged(kind, w.nodes.Apply(l, w.shift()))
+	if last {
+		w.drop(logs.DiscoveryEnded, nil)
+	}
+	w.call() // at once: a watch goes on only if the next call comes within 200 ms
+}
+
+// drop closes the connection.
+func (w *Watcher) drop(code logs.Code, err error) {
+	if w.s != nil {
+		w.s.Close()
+		w.s, w.up = nil, false
+		w.log.Conn(code, w.address, w.calls, err)
+		w.calls = 0
+	}
+}
+
+// fail ends the watch. The module hears of it and asks again after a delay of its own.
+func (w *Watcher) fail(code logs.Code, err error) {
+	if w.s == nil {
+		w.log.Conn(code, w.address, 0, err)
+	}
+	w.drop(code, err)
+	w.timer.Stop()
+	if w.calling {
+		w.calling = false
+		w.core.ListChanged(balance.ListFailed, nil)
+	}
+}
+
+// Close ends the watch without a word.
+func (w *Watcher) Close() {
+	w.calling = false
+	w.fail(logs.Shutdown, nil)
+}
+
+var errAnswer = errors.New("malformed answer")
+
+// parseAnswer takes one HTTP answer off in; size is 0 while it is not whole.
+func parseAnswer(in []byte) (status int, body []byte, size int, last bool, err error) {
+	end := bytes.Index(in, []byte("\r\n\r\n"))
+	if end < 0 {
+		return 0, nil, 0, false, nil
+	}
+	line, rest, _ := strings.Cut(string(in[:end]), "\r\n")
+	f := strings.SplitN(line, " ", 3)
+	if len(f) < 2 || !strings.HasPrefix(f[0], "HTTP/1.") {
+		return 0, nil, 0, false, errAnswer
+	}
+	if status, err = strconv.Atoi(f[1]); err != nil {
+		return 0, nil, 0, false, errAnswer
+	}
+	length, chunked := int64(0), false
+	for rest != "" {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, _ := strings.Cut(line, ":")
+		switch value = strings.TrimSpace(value); strings.ToLower(name) {
+		case "content-length":
+			if length, err = strconv.ParseInt(value, 10, 32); err != nil || length < 0 || length > maxAnswer {
+				return 0, nil, 0, false, errAnswer
+			}
+		case "transfer-encoding":
+			chunked = strings.EqualFold(value, "chunked")
+		case "connection":
+			last = strings.EqualFold(value, "close")
+		}
+	}
+	at := end + 4
+	if !chunked {
+		if len(in) < at+int(length) {
+			return 0, nil, 0, false, nil
+		}
+		return status, in[at : at+int(length)], at + int(length), last, nil
+	}
+	for {
+		end := bytes.Index(in[at:], []byte("\r\n"))
+		if end < 0 {
+			return 0, nil, 0, false, nil
+		}
+		text, _, _ := strings.Cut(string(in[at:at+end]), ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
+		if err != nil || n > math.MaxInt32/2 {
+			return 0, nil, 0, false, errAnswer
+		}
+		if at += end + 2; len(in) < at+int(n)+2 {
+			return 0, nil, 0, false, nil
+		}
+		body = append(body, in[at:at+int(n)]...)
+		if at += int(n) + 2; n == 0 {
+			return status, body, at, last, nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/leafs/conn.go
@@ -0,0 +1,226 @@
+package leafs
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+
+	"golang.org/x/sys/unix"
+
+	"ternstage/balance"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+)
+
+// conn is a connection to a leaf.
+type conn struct {
+	pool    *Pool
+	leaf    *leaf
+	s       *loop.Stream
+	up      bool
+	closed  bool
+	retired bool // takes nothing new
+	calls   []*call
+	waiting []*call // of calls: those not yet encoded
+	byID    map[string]*out
+	queued  uint64 // bytes handed to the stream so far
+	served  int
+	opened  float64
+	dialBy  float64
+	idleAt  float64 // when it is closed as idle
+}
+
+// Ready implements loop.Handler.
+func (c *conn) Ready(events uint32) {
+	if !c.up {
+		if err := loop.Failure(c.s.FD); err != nil {
+			c.close(logs.LeafRefused, err)
+			return
+		}
+		if events&unix.EPOLLOUT == 0 {
+			return
+		}
+		c.up = true
+		c.rest()
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 && !c.read() {
+		return
+	}
+	c.write()
+	c.pool.plan()
+}
+
+// read takes answers; false if the connection has ended. What came whole before the end counts.
+func (c *conn) read() bool {
+	for {
+		eof, err := c.s.Read(maxRead)
+		if !c.parse() {
+			return false
+		}
+		switch {
+		case err != nil:
+			c.close(logs.LeafReset, err)
+			return false
+		case eof:
+			c.close(logs.LeafEnded, nil)
+			return false
+		case len(c.s.In) < maxRead/2:
+			return true
+		}
+	}
+}
+
+func (c *conn) parse() bool {
+	at := 0
+	for {
+		letter, rest, size, err := next(c.s.In[at:])
+		if err == nil && size > 0 {
+			err = c.frame(letter, rest)
+		}
+		if err != nil {
+			c.close(logs.LeafBadFrame, err)
+			return false
+		}
+		if size == 0 {
+			break
+		}
+		at += size
+	}
+	c.s.Consume(at)
+	return true
+}
+
+// frame takes one frame of the leaf.
+func (c *conn) frame(letter byte, rest []byte) error {
+	switch letter {
+	case frameAnswer:
+	case frameProbe, frameLoad:
+		return nil // no probe is sent: an answer to one tells nothing
+	case frameError:
+		return fmt.Errorf("%w: the leaf says %q", errFrame, rest)
+	default:
+		return fmt.Errorf("%w: letter %q", errFrame, letter)
+	}
+	a, err := parseAnswer(rest)
+	if err != nil {
+		return err
+	}
+	o := c.byID[a.id]
+	if o == nil || o.call.end == 0 {
+		return nil // given up before: a late answer is ignored
+	}
+	o.over = true
+	c.done(o)
+	c.served++
+	switch a.end {
+	case "ok":
+		c.pool.core.Ended(o.a, balance.OK, slices.Clone(a.value))
+	case "err":
+		c.pool.core.Ended(o.a, balance.Failed, nil)
+	case "busy":
+		c.pool.core.Ended(o.a, balance.Full, nil)
+	default:
+		c.pool.core.Ended(o.a, balance.Failed, nil)
+		return fmt.Errorf("%w: end %q", errFrame, a.end)
+	}
+	return nil
+}
+
+// done takes a part off the connection, and its call when that was the last.
+func (c *conn) done(o *out) {
+	if c.byID[o.id] == o {
+		delete(c.byID, o.id)
+	}
+	k := o.call
+	if k.left--; k.left > 0 {
+		return
+	}
+	is := func(x *call) bool { return x == k }
+	c.calls, c.waiting = slices.DeleteFunc(c.calls, is), slices.DeleteFunc(c.waiting, is)
+	c.rest()
+}
+
+// rest notes since when the connection stands idle.
+func (c *conn) rest() {
+	c.idleAt = math.Inf(1)
+	if len(c.calls) == 0 {
+		k := c.pool.o.KeepAlive
+		c.idleAt = c.pool.loop.Now() + max(min(k*idleShare, k-idleSpare), 0)
+	}
+}
+
+// write encodes the waiting calls, at the last moment so that d is what remains, and writes.
+func (c *conn) write() {
+	if c.closed || !c.up {
+		return
+	}
+	now := c.pool.loop.Now()
+	for {
+		if err := c.s.Flush(); err != nil {
+			c.close(logs.LeafReset, err)
+			return
+		}
+		if len(c.s.Out) > 0 || len(c.waiting) == 0 {
+			break
+		}
+		k := c.waiting[0]
+		c.waiting = c.waiting[1:]
+		c.s.Out = begin(c.s.Out, frameQuery)
+		for _, o := range k.parts {
+			if !o.over {
+				c.s.Out = appendPart(c.s.Out, o.id, o.a.Shard, int(math.Ceil(max(o.a.Deadline-now, 1))), o.a.Text)
+			}
+		}
+		c.s.Out = finish(c.s.Out, 0)
+		c.queued += uint64(len(c.s.Out))
+		k.end = c.queued
+	}
+	want := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
+	if len(c.s.Out) > 0 {
+		want |= unix.EPOLLOUT
+	}
+	c.s.Want(want)
+}
+
+// stuck gives up the calls that wait unwritten on a connection that takes nothing; it gets no new ones.
+func (c *conn) stuck() {
+	c.retired = true
+	for _, k := range slices.Clone(c.waiting) {
+		for _, o := range k.parts {
+			if !o.over {
+				o.over = true
+				c.done(o)
+				c.pool.core.Later(o.a, balance.ConnectFailed)
+			}
+		}
+	}
+}
+
+// close ends the connection and every part out on it: one whose frame was not wholly written never ran, any
+// other may have.
+func (c *conn) close(code logs.Code, err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.s.Close()
+	c.pool.conns--
+	c.leaf.conns = slices.DeleteFunc(c.leaf.conns, func(x *conn) bool { return x == c })
+	c.pool.log.Conn(code, c.leaf.addr, c.served, err)
+	for _, k := range c.calls {
+		outcome := balance.ConnectFailed
+		if k.end > 0 && k.end <= c.s.Wrote {
+			outcome = balance.Reset
+		}
+		for _, o := range k.parts {
+			if !o.over {
+				o.over = true
+				c.pool.core.Later(o.a, outcome)
+			}
+		}
+	}
+	c.calls, c.waiting = nil, nil
+}
+
+func appendInt(out []byte, n int) []byte { return strconv.AppendInt(out, int64(n), 10) }
--- /dev/null
+++ b/internal/leafs/frame.go
@@ -0,0 +1,79 @@
+// Package leafs speaks frames to leafs: a pool of connections for each, calls that share a connection, and
+// what is proved of a part when a connection breaks.
+package leafs
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"strconv"
+)
+
+// The letters of frames.
+const (
+	frameQuery   = 'Q'
+	frameAbandon = 'X'
+	frameProbe   = 'P'
+	frameLoad    = 'L'
+	frameAnswer  = 'A'
+	frameError   = 'E'
+)
+
+const (
+	frameHead = 4
+	maxFrame  = 256 << 10 // bytes: a longer one is not of this protocol
+)
+
+var errFrame = errors.New("the frame cannot be used")
+
+// begin appends the head of a frame, to be closed by finish.
+func begin(out []byte, letter byte) []byte { return append(out, 0, 0, 0, 0, letter) }
+
+func finish(out []byte, at int) []byte {
+	binary.BigEndian.PutUint32(out[at:], uint32(len(out)-at-frameHead))
+	return out
+}
+
+// appendPart adds one part to a Q frame: its line and the query's text.
+func appendPart(out []byte, id string, shard, wait int, text []byte) []byte {
+	out = append(out, id...)
+	out = append(out, ' ')
+	out = strconv.AppendInt(out, int64(shard), 10)
+	out = append(out, " d="...)
+	out = strconv.AppendInt(out, int64(wait), 10)
+	out = append(out, ' ')
+	out = strconv.AppendInt(out, int64(len(text)), 10)
+	out = append(out, '\n')
+	return append(out, text...)
+}
+
+// next splits the first whole frame off in. size is 0 while it is not whole.
+func next(in []byte) (letter byte, rest []byte, size int, err error) {
+	if len(in) < frameHead {
+		return 0, nil, 0, nil
+	}
+	n := binary.BigEndian.Uint32(in)
+	if n < 1 || n > maxFrame {
+		return 0, nil, 0, fmt.Errorf("%w: length %d", errFrame, n)
+	}
+	if size = frameHead + int(n); len(in) < size {
+		return 0, nil, 0, nil
+	}
+	return in[frameHead], in[frameHead+1 : size], size, nil
+}
+
+// answer is an A frame.
+type answer struct {
+	id, end, report string
+	value           []byte
+}
+
+func parseAnswer(rest []byte) (answer, error) {
+	line, value, ok := bytes.Cut(rest, []byte{'\n'})
+	f := bytes.Split(line, []byte{' '})
+	if !ok || len(f) != 4 {
+		return answer{}, fmt.Errorf("%w: answer line %q", errFrame, line)
+	}
+	return answer{id: string(f[0]), end: string(f[1]), report: string(f[3]), value: value}, nil
+}
--- /dev/null
+++ b/internal/leafs/pool.go
@@ -0,0 +1,288 @@
+package leafs
+
+import (
+	"errors"
+	"math"
+	"slices"
+
+	"golang.org/x/sys/unix"
+
+	"ternstage/balance"
+	"ternstage/internal/core"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+)
+
+// Options are the limits of the pool, from the settings.
+type Options struct {
+	PerCall     int     // parts in one call
+	Streams     int     // calls out on one connection
+	DialTimeout float64 // ms
+	KeepAlive   float64 // ms after which a leaf closes an idle connection
+	Sockets     int     // connections to all leafs together
+}
+
+const (
+	idleShare = 0.9    // of the leaf's idle time, after which we close: a close that crosses a part resets it
+	idleSpare = 1500.0 // ms: at least so long before the leaf does
+	heldMost  = 400.0  // ms that a part may wait unwritten: guards the drain rule against a connection that
+	// takes nothing, as the module's decision to send is then no longer of now
+	maxRead = 2 * maxFrame
+)
+
+// Core takes the outcomes.
+type Core interface {
+	Ended(a *core.Attempt, o balance.Outcome, value []byte)
+	Later(a *core.Attempt, o balance.Outcome)
+}
+
+// Pool holds the connections to all leafs. It implements core.Backend.
+type Pool struct {
+	loop    *loop.Loop
+	core    Core
+	log     *logs.Log
+	o       Options
+	address func(node uint32) string
+	leafs   map[uint32]*leaf
+	dirty   []*leaf // sent to in this turn
+	conns   int
+	timer   *loop.Timer
+}
+
+// NewPool makes a pool; address looks a node's address up.
+func NewPool(l *loop.Loop, c Core, log *logs.Log, o Options, address func(uint32) string) *Pool {
+	o.PerCall, o.Streams, o.Sockets = max(o.PerCall, 1), max(o.Streams, 1), max(o.Sockets, 1)
+	p := &Pool{loop: l, core: c, log: log, o: o, address: address, leafs: map[uint32]*leaf{}}
+	p.timer = l.NewTimer(p.tend)
+	return p
+}
+
+type leaf struct {
+	node  uint32
+	addr  string
+	conns []*conn
+	turn  []*core.Attempt // sent in this turn, not yet in calls
+}
+
+// call is one Q frame.
+type call struct {
+	conn  *conn
+	parts []*out
+	left  int // parts out
+	sent  float64
+	end   uint64 // the frame's last byte, counted on its connection; 0 until it is encoded
+}
+
+// out is a part that is out; it is the attempt's handle.
+type out struct {
+	a    *core.Attempt
+	id   string
+	call *call
+	over bool
+}
+
+// Send implements core.Backend.
+func (p *Pool) Send(a *core.Attempt) {
+	l := p.leafs[a.Node]
+	if l == nil {
+		l = &leaf{node: a.Node}
+		p.leafs[a.Node] = l
+	}
+	if len(l.turn) == 0 {
+		p.dirty = append(p.dirty, l)
+	}
+	l.turn = append(l.turn, a)
+}
+
+// Flush implements core.Backend: the parts of this turn go out in calls.
+func (p *Pool) Flush() {
+	dirty := p.dirty
+	p.dirty = nil
+	for _, l := range dirty {
+		turn := l.turn
+		l.turn = nil
+		if addr := p.address(l.node); addr != l.addr {
+			// A new address: connections to the old one take nothing new.
+			for _, c := range l.conns {
+				c.retired = true
+			}
+			l.addr = addr
+		}
+		for parts := range slices.Chunk(turn, p.o.PerCall) {
+			p.place(l, parts)
+		}
+		for _, c := range slices.Clone(l.conns) {
+			c.write()
+		}
+	}
+	p.plan()
+}
+
+// place gives a call to a connection with room, the fullest first so that others can go idle, or opens one.
+func (p *Pool) place(l *leaf, parts []*core.Attempt) {
+	k := &call{sent: p.loop.Now()}
+	for _, a := range parts {
+		o := &out{a: a, id: partID(a), call: k}
+		a.Handle = o
+		k.parts = append(k.parts, o)
+	}
+	k.left = len(k.parts)
+	var best *conn
+	for _, c := range l.conns {
+		if !c.retired && len(c.calls) < p.o.Streams && (best == nil || len(c.calls) > len(best.calls)) {
+			best = c
+		}
+	}
+	if best == nil {
+		best = p.dial(l)
+	}
+	if best == nil {
+		for _, o := range k.parts {
+			o.over = true
+			p.core.Later(o.a, balance.ConnectFailed)
+		}
+		return
+	}
+	k.conn = best
+	best.calls, best.waiting = append(best.calls, k), append(best.waiting, k)
+	best.idleAt = math.Inf(1)
+	for _, o := range k.parts {
+		best.byID[o.id] = o
+	}
+}
+
+// Abandon implements core.Backend.
+func (p *Pool) Abandon(a *core.Attempt) (neverRan bool) {
+	if l := p.leafs[a.Node]; l != nil {
+		if i := slices.Index(l.turn, a); i >= 0 {
+			l.turn = slices.Delete(l.turn, i, i+1)
+			return true
+		}
+	}
+	o, _ := a.Handle.(*out)
+	if o == nil || o.over {
+		return false
+	}
+	k, c := o.call, o.call.conn
+	o.over = true
+	if k.end == 0 { // not encoded: it is left out of the frame
+		c.done(o)
+		return true
+	}
+	at := len(c.s.Out)
+	c.s.Out = finish(append(begin(c.s.Out, frameAbandon), o.id...), at)
+	c.queued += uint64(len(c.s.Out) - at)
+	c.done(o)
+	c.write()
+	return false
+}
+
+// DropIdle implements core.Backend.
+func (p *Pool) DropIdle(node uint32) {
+	if l := p.leafs[node]; l != nil {
+		for _, c := range slices.Clone(l.conns) {
+			if len(c.calls) == 0 {
+				c.close(logs.LeafIdle, nil)
+			}
+		}
+	}
+}
+
+// Open is how many connections there are.
+func (p *Pool) Open() int { return p.conns }
+
+// Close closes what is open, at the end of the program.
+func (p *Pool) Close() {
+	for _, l := range p.leafs {
+		for _, c := range slices.Clone(l.conns) {
+			c.close(logs.Shutdown, nil)
+		}
+	}
+}
+
+// makeRoom closes the connection that has stood idle longest, so that another leaf can be reached.
+func (p *Pool) makeRoom() bool {
+	var idle *conn
+	for _, l := range p.leafs {
+		for _, c := range l.conns {
+			if len(c.calls) == 0 && c.up && (idle == nil || c.idleAt < idle.idleAt) {
+				idle = c
+			}
+		}
+	}
+	if idle == nil {
+		return false
+	}
+	idle.close(logs.LeafRoom, nil)
+	return true
+}
+
+// tend closes what is idle, gives up dials that take too long and parts that wait unwritten.
+func (p *Pool) tend() {
+	now := p.loop.Now()
+	for _, l := range p.leafs {
+		for _, c := range slices.Clone(l.conns) {
+			switch {
+			case !c.up && now >= c.dialBy:
+				c.close(logs.LeafDialTimeout, nil)
+			case len(c.calls) == 0 && c.retired:
+				c.close(logs.LeafStuck, nil)
+			case len(c.calls) == 0 && now >= c.idleAt:
+				c.close(logs.LeafIdle, nil)
+			case len(c.waiting) > 0 && now >= c.waiting[0].sent+heldMost:
+				c.stuck()
+			}
+		}
+		if len(l.conns) == 0 && len(l.turn) == 0 && p.address(l.node) == "" {
+			delete(p.leafs, l.node)
+		}
+	}
+	p.plan()
+}
+
+// plan sets the pool's one timer.
+func (p *Pool) plan() {
+	next := math.Inf(1)
+	for _, l := range p.leafs {
+		for _, c := range l.conns {
+			if !c.up {
+				next = min(next, c.dialBy)
+			} else {
+				next = min(next, c.idleAt)
+			}
+			if len(c.waiting) > 0 {
+				next = min(next, c.waiting[0].sent+heldMost)
+			}
+		}
+	}
+	p.timer.Set(next)
+}
+
+// partID is the part's name on the wire.
+func partID(a *core.Attempt) string {
+	return string(appendInt(append([]byte(a.Request), '.'), a.Shard))
+}
+
+// dial opens a connection; nil if there can be none.
+func (p *Pool) dial(l *leaf) *conn {
+	if p.conns >= p.o.Sockets && !p.makeRoom() || l.addr == "" {
+		return nil
+	}
+	fd, err := loop.Connect(l.addr)
+	if errors.Is(err, unix.EMFILE) && p.makeRoom() {
+		fd, err = loop.Connect(l.addr)
+	}
+	now := p.loop.Now()
+	c := &conn{pool: p, leaf: l, byID: map[string]*out{}, dialBy: now + p.o.DialTimeout, opened: now,
+		idleAt: math.Inf(1)}
+	if err == nil {
+		c.s, err = loop.NewStream(p.loop, fd, unix.EPOLLIN|unix.EPOLLOUT|unix.EPOLLRDHUP, c)
+	}
+	if err != nil {
+		p.log.Conn(logs.LeafRefused, l.addr, 0, err)
+		return nil
+	}
+	l.conns = append(l.conns, c)
+	p.conns++
+	return c
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,176 @@
+// Package loop is the one thread of decisions: an epoll loop that owns every platform socket and timer.
+// Connections are objects with a Ready callback; nothing is started for a single request. Other threads
+// reach the loop by Post alone.
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Epoch is the reading, in ms, of the loop's clock at its start. It is a day, so that "0" (long ago) and a
+// start before ours are both told from a recent one.
+const Epoch = 24 * 3600 * 1000.0
+
+const (
+	maxEvents = 128
+	longest   = 60_000.0 // ms: the longest sleep, a bound on what a clock mistake could cost
+)
+
+// Handler is a connection, a listener or another owner of a descriptor.
+type Handler interface {
+	// Ready tells what epoll said of the descriptor.
+	Ready(events uint32)
+}
+
+// Timer is one long-lived timer of a component. There are a few in all, none for a request.
+type Timer struct {
+	at   float64
+	fire func()
+}
+
+// Set moves the timer to a time of the loop's clock.
+func (t *Timer) Set(at float64) { t.at = at }
+
+// Stop disarms the timer.
+func (t *Timer) Stop() { t.at = math.Inf(1) }
+
+// Sooner moves the timer to a time if that is before the present one.
+func (t *Timer) Sooner(at float64) { t.at = min(t.at, at) }
+
+// Loop is an epoll loop.
+type Loop struct {
+	epoll, wake int
+	start       time.Time
+	now         float64
+	handlers    map[int32]Handler
+	timers      []*Timer
+	turn        func()
+	stopped     bool
+
+	mu     sync.Mutex
+	posted []func()
+}
+
+// New makes a loop. turn runs once at the end of each wake-up, after all its events.
+func New() (*Loop, error) {
+	ep, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	if err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	l := &Loop{epoll: ep, wake: wake, start: time.Now(), now: Epoch, handlers: map[int32]Handler{}}
+	if err := l.Add(wake, unix.EPOLLIN, l); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// Ready empties the eventfd; the posted work itself is run by Run.
+func (l *Loop) Ready(uint32) {
+	var b [8]byte
+	_, _ = unix.Read(l.wake, b[:])
+}
+
+// Now is the monotonic clock in ms as of this wake-up.
+func (l *Loop) Now() float64 { return l.now }
+
+// Clock reads the monotonic clock in ms.
+func (l *Loop) Clock() float64 { return Epoch + float64(time.Since(l.start))/1e6 }
+
+// Add registers a descriptor.
+func (l *Loop) Add(fd int, events uint32, h Handler) error {
+	e := unix.EpollEvent{Events: events, Fd: int32(fd)}
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
+		return fmt.Errorf("epoll add: %w", err)
+	}
+	l.handlers[int32(fd)] = h
+	return nil
+}
+
+// Want changes what a descriptor is watched for.
+func (l *Loop) Want(fd int, events uint32) {
+	_ = unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
+}
+
+// Close forgets a descriptor and closes it.
+func (l *Loop) Close(fd int) {
+	delete(l.handlers, int32(fd))
+	_ = unix.Close(fd)
+}
+
+// NewTimer makes a disarmed timer.
+func (l *Loop) NewTimer(fire func()) *Timer {
+	t := &Timer{at: math.Inf(1), fire: fire}
+	l.timers = append(l.timers, t)
+	return t
+}
+
+// Post hands work to the loop from any thread.
+func (l *Loop) Post(work func()) {
+	l.mu.Lock()
+	l.posted = append(l.posted, work)
+	first := len(l.posted) == 1
+	l.mu.Unlock()
+	if first {
+		_, _ = unix.Write(l.wake, []byte{1, 0, 0, 0, 0, 0, 0, 0})
+	}
+}
+
+// OnTurn sets what runs once at the end of each wake-up.
+func (l *Loop) OnTurn(turn func()) { l.turn = turn }
+
+// Stop makes Run return after this wake-up.
+func (l *Loop) Stop() { l.stopped = true }
+
+// Run serves until Stop.
+func (l *Loop) Run() error {
+	var events [maxEvents]unix.EpollEvent
+	for !l.stopped {
+		n, err := unix.EpollWait(l.epoll, events[:], l.sleep())
+		if err != nil && !errors.Is(err, unix.EINTR) {
+			return fmt.Errorf("epoll wait: %w", err)
+		}
+		l.now = l.Clock()
+		for i := range max(n, 0) {
+			// A handler closed earlier in this wake-up is gone from the map: guards against stale events.
+			if h := l.handlers[events[i].Fd]; h != nil {
+				h.Ready(events[i].Events)
+			}
+		}
+		l.mu.Lock()
+		work := l.posted
+		l.posted = nil
+		l.mu.Unlock()
+		for _, f := range work {
+			f()
+		}
+		for _, t := range l.timers {
+			if l.now >= t.at {
+				t.Stop()
+				t.fire()
+			}
+		}
+		if l.turn != nil {
+			l.turn()
+		}
+	}
+	return nil
+}
+
+// sleep is how long epoll may wait, in whole ms: rounded up, so that a timer is due when it wakes.
+func (l *Loop) sleep() int {
+	next, now := math.Inf(1), l.Clock()
+	for _, t := range l.timers {
+		next = min(next, t.at)
+	}
+	return int(math.Ceil(min(max(next-now, 0), longest)))
+}
--- /dev/null
+++ b/internal/loop/stream.go
@@ -0,0 +1,91 @@
+package loop
+
+import (
+	"errors"
+	"io"
+
+	"golang.org/x/sys/unix"
+)
+
+const readSize = 16 << 10
+
+var scratch [readSize]byte // the loop is one thread
+
+// Stream is the byte side of a connection: what was read and not parsed, what is to be written.
+type Stream struct {
+	FD      int
+	In, Out []byte
+	Wrote   uint64 // bytes that the kernel has taken
+	loop    *Loop
+	events  uint32
+}
+
+// NewStream registers a connection with the loop.
+func NewStream(l *Loop, fd int, events uint32, h Handler) (*Stream, error) {
+	if err := l.Add(fd, events, h); err != nil {
+		_ = unix.Close(fd)
+		return nil, err
+	}
+	return &Stream{FD: fd, loop: l, events: events}, nil
+}
+
+// Read takes what has come, up to limit bytes held. eof tells that the peer has ended its side.
+func (s *Stream) Read(limit int) (eof bool, err error) {
+	for len(s.In) < limit {
+		n, err := unix.Read(s.FD, scratch[:min(readSize, limit-len(s.In))])
+		switch {
+		case n > 0:
+			s.In = append(s.In, scratch[:n]...)
+		case n == 0 && err == nil:
+			return true, nil
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			return false, nil
+		default:
+			return false, err
+		}
+	}
+	return false, nil
+}
+
+// Consume drops parsed bytes.
+func (s *Stream) Consume(n int) {
+	if s.In = append(s.In[:0], s.In[n:]...); len(s.In) == 0 && cap(s.In) > 4*readSize {
+		s.In = nil // an idle connection keeps no large buffer
+	}
+}
+
+// Flush writes what the kernel takes; the rest stays in Out.
+func (s *Stream) Flush() error {
+	for len(s.Out) > 0 {
+		n, err := unix.Write(s.FD, s.Out)
+		if n > 0 {
+			s.Wrote += uint64(n)
+			s.Out = s.Out[n:]
+			continue
+		}
+		if errors.Is(err, unix.EAGAIN) {
+			return nil
+		}
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		if err == nil {
+			err = io.ErrShortWrite
+		}
+		return err
+	}
+	s.Out = nil
+	return nil
+}
+
+// Want sets what the connection waits for.
+func (s *Stream) Want(events uint32) {
+	if s.events != events {
+		s.events = events
+		s.loop.Want(s.FD, events)
+	}
+}
+
+// Close closes the connection.
+func (s *Stream) Close() { s.loop.Close(s.FD) }
