Add Arrow Flight: a DoGet front and a back end to rate nodes, off on the platform

Client DoGet (ticket: the query; metadata: its envelope; gRPC deadline) goes through the same contracts, core and module as HTTP/1.1; rate nodes are asked by DoGet too.

--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -17,12 +17,14 @@
 	"ternstage/internal/config"
 	"ternstage/internal/core"
 	"ternstage/internal/discovery"
+	"ternstage/internal/flight"
 	"ternstage/internal/leafs"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
 )
 
 const (
+	flightFile  = "deploy/flight.toml"
 	memoryShare = 0.6    // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
 	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
 	leafShare   = 4      // one in so many of the others is for leafs
@@ -43,6 +45,14 @@
 	if err != nil {
 		return err
 	}
+	path := os.Getenv("TERNSTAGE_FLIGHT")
+	if path == "" {
+		path = flightFile
+	}
+	fc, err := flight.Load(path)
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
 	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
 	log := logs.New(os.Stderr, cfg.Name)
@@ -60,12 +70,18 @@
 	}
 	files := cfg.Sockets - spareFiles
 	nodes := discovery.NewNodes(cfg.Zones)
-	pool := leafs.NewPool(l, c, log, leafs.Options{PerCall: cfg.Module.PerCall, Streams: cfg.Streams,
-		DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
+	var back backend
+	if fc.Nodes {
+		back = flight.NewNodes(l, c, log, flight.NodeOptions{Streams: cfg.Streams, DialTimeout: cfg.DialTimeout,
+			KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
+	} else {
+		back = leafs.NewPool(l, c, log, leafs.Options{PerCall: cfg.Module.PerCall, Streams: cfg.Streams,
+			DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
+	}
 	watch := discovery.NewWatcher(l, c, log, nodes, cfg.Discovery)
-	c.Attach(pool, watch)
+	c.Attach(back, watch)
 	watch.Known(cfg.Known)
-	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen, files-files/leafShare,
+	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen, files-files/leafShare-fc.Conns,
 		func() bool { return nodes.Size() > 0 })
 	if err != nil {
 		return err
@@ -73,6 +89,11 @@
 	l.OnTurn(c.Turn)
 
 	stop := &stopper{loop: l, core: c, server: server}
+	if fc.Enabled {
+		if stop.front, err = flight.Listen(fc, l, c, cfg.Book, log); err != nil {
+			return err
+		}
+	}
 	stop.timer = l.NewTimer(stop.step)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, unix.SIGTERM, unix.SIGINT)
@@ -85,13 +106,19 @@
 		return err
 	}
 	taken, ends := c.Counts()
-	pool.Close()
+	back.Close()
 	watch.Close()
 	log.Info("stopped", zap.Uint64("taken", taken), zap.Uint64("answered", ends[core.Answered]),
 		zap.Uint64("refused", ends[core.Refused]), zap.Uint64("failed", ends[core.Failed]))
 	return nil
 }
 
+// backend is a core.Backend that the program can close.
+type backend interface {
+	core.Backend
+	Close()
+}
+
 // waker is the loop as core sees it: one timer for all that core waits for.
 type waker struct {
 	*loop.Loop
@@ -107,8 +134,10 @@
 	loop   *loop.Loop
 	core   *core.Core
 	server *clients.Server
+	front  *flight.Front // nil where Flight is off
 	timer  *loop.Timer
 	began  float64
+	ended  bool // the Flight front has
 }
 
 func (s *stopper) begin() {
@@ -127,7 +156,11 @@
 	}
 	if past >= listenOn {
 		s.server.StopListening()
-		if s.core.Open() == 0 && s.server.Open() == 0 || past >= exitBy {
+		if !s.ended && s.front != nil {
+			s.front.Stop(func() { s.ended, s.front = true, nil })
+			s.ended = true
+		}
+		if s.core.Open() == 0 && s.front == nil && s.server.Open() == 0 || past >= exitBy {
 			s.loop.Stop()
 			return
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,6 +82,12 @@
 	in       bool
 }
 
+// late tells that the last attempt of a part is still waited for, or was in vain.
+func (p *part) late() bool {
+	n := len(p.attempts)
+	return n > 0 && (!p.attempts[n-1].ended || p.attempts[n-1].how == balance.TimedOut)
+}
+
 // Attempt is one try of a part at a node.
 type Attempt struct {
 	Request  string
@@ -95,6 +101,7 @@
 	no    int
 	sent  float64
 	ended bool
+	how   balance.Outcome // once it has ended
 }
 
 // Backend carries attempts to nodes. It must not call back into Core from within these methods: what it
@@ -246,7 +253,7 @@
 	if a.ended {
 		return
 	}
-	a.ended = true
+	a.ended, a.how = true, o
 	if p := a.part; o == balance.OK && !p.in {
 		p.in, p.value = true, value
 	}
@@ -354,7 +361,7 @@
 			}
 		}
 	}
-	a.TimedOut = a.Kind == Failed && c.clock.Now() >= r.Deadline-100
+	a.TimedOut = a.Kind == Failed && slices.ContainsFunc(r.parts, (*part).late)
 	c.forget(r)
 	c.end(r, a)
 }
--- /dev/null
+++ b/internal/flight/config.go
@@ -0,0 +1,51 @@
+// Package flight is the Arrow Flight side of the broker: a front that takes queries by DoGet, and a back end
+// that asks rate nodes by DoGet. gRPC runs goroutines of its own; they stay in this package and meet the
+// decisions only through the loop's Post. It is off unless deploy/flight.toml switches it on.
+package flight
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Config is what the file says.
+type Config struct {
+	Enabled bool   `toml:"enabled"` // the front listens
+	Listen  string `toml:"listen"`  // where it listens
+	Nodes   bool   `toml:"nodes"`   // rate nodes are asked over Flight in place of frames
+	Streams int    `toml:"streams"` // calls of one client connection at a time
+	Conns   int    `toml:"conns"`   // client connections at a time
+}
+
+const (
+	defaultStreams = 128
+	defaultConns   = 128
+)
+
+// Load reads the file; one that is not there leaves Flight off.
+func Load(path string) (Config, error) {
+	c := Config{Streams: defaultStreams, Conns: defaultConns}
+	m, err := toml.DecodeFile(path, &c)
+	if errors.Is(err, os.ErrNotExist) {
+		return Config{}, nil
+	}
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if odd := m.Undecoded(); len(odd) > 0 {
+		return Config{}, fmt.Errorf("%s: %s: unknown key", path, odd[0])
+	}
+	if c.Streams < 1 || c.Conns < 1 {
+		return Config{}, fmt.Errorf("%s: streams and conns: %d and %d, 1 at least", path, c.Streams, c.Conns)
+	}
+	if c.Enabled {
+		if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+			return Config{}, fmt.Errorf("%s: listen: %w", path, err)
+		}
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/flight/nodes.go
@@ -0,0 +1,311 @@
+package flight
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"ternstage/balance"
+	"ternstage/internal/core"
+	"ternstage/internal/logs"
+)
+
+// Outcomes takes what became of attempts, on the loop.
+type Outcomes interface {
+	Ended(a *core.Attempt, o balance.Outcome, value []byte)
+	Later(a *core.Attempt, o balance.Outcome)
+}
+
+// NodeOptions are the limits of the back end, from the settings.
+type NodeOptions struct {
+	Streams     int
+	DialTimeout float64 // ms
+	KeepAlive   float64 // ms
+	Sockets     int
+}
+
+const (
+	maxAnswer = 256 << 10
+	idleShare = 0.9
+)
+
+// Nodes asks rate nodes over Flight. It implements core.Backend. A part is a DoGet of its own: Flight has no
+// call that carries several tickets.
+type Nodes struct {
+	loop    Loop
+	core    Outcomes
+	log     *logs.Log
+	o       NodeOptions
+	address func(node uint32) string
+	nodes   map[uint32][]*channel // by node: its connections; the loop's alone
+	conns   int
+	turn    []*attempt
+}
+
+// channel is one gRPC connection to a node.
+type channel struct {
+	node    uint32
+	addr    string
+	cc      *grpc.ClientConn
+	client  flight.Client
+	out     int
+	served  int
+	retired bool
+}
+
+// attempt is an attempt that is out; it is the handle of core's.
+type attempt struct {
+	*core.Attempt
+	ch     *channel
+	cancel context.CancelFunc
+	state  atomic.Int32 // stateWaiting until its call begins or it is given up
+	over   bool         // the loop's: its outcome is known or no longer wanted
+}
+
+const (
+	stateWaiting = iota
+	stateCalled  // from here on it may have run
+	stateDropped // from here on it never will
+)
+
+// NewNodes makes the back end; address looks a node's address up.
+func NewNodes(l Loop, c Outcomes, log *logs.Log, o NodeOptions, address func(uint32) string) *Nodes {
+	return &Nodes{loop: l, core: c, log: log, o: o, address: address, nodes: map[uint32][]*channel{}}
+}
+
+// Send implements core.Backend.
+func (n *Nodes) Send(a *core.Attempt) {
+	x := &attempt{Attempt: a}
+	a.Handle = x
+	n.turn = append(n.turn, x)
+}
+
+// Flush implements core.Backend.
+func (n *Nodes) Flush() {
+	turn := n.turn
+	n.turn = nil
+	for _, x := range turn {
+		if x.over {
+			continue
+		}
+		if x.ch = n.channel(x.Node); x.ch == nil {
+			x.over = true
+			n.core.Later(x.Attempt, balance.ConnectFailed)
+			continue
+		}
+		x.ch.out++
+		left := time.Duration(max(x.Deadline-n.loop.Now(), 1) * 1e6)
+		ctx, cancel := context.WithTimeout(context.Background(), left)
+		x.cancel = cancel
+		go n.run(ctx, x, left)
+	}
+}
+
+// channel is a connection to a node with a stream to spare.
+func (n *Nodes) channel(node uint32) *channel {
+	addr := n.address(node)
+	if addr == "" {
+		return nil
+	}
+	for _, ch := range n.nodes[node] {
+		if ch.addr != addr {
+			n.retire(ch)
+		} else if ch.out < n.o.Streams && !ch.retired {
+			return ch
+		}
+	}
+	if n.conns >= n.o.Sockets {
+		return nil
+	}
+	idle := time.Duration(n.o.KeepAlive * idleShare * 1e6)
+	// No retries by gRPC: whether a part goes out again is the module's decision.
+	cc, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(idle),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswer)), grpc.WithNoProxy())
+	if err != nil {
+		n.log.Conn(logs.FlightNode, addr, 0, err)
+		return nil
+	}
+	ch := &channel{node: node, addr: addr, cc: cc, client: flight.NewClientFromConn(cc, nil)}
+	n.nodes[node] = append(n.nodes[node], ch)
+	n.conns++
+	return ch
+}
+
+// retire lets a connection end with what is out on it.
+func (n *Nodes) retire(ch *channel) {
+	if ch.retired = true; ch.out > 0 {
+		return
+	}
+	list := n.nodes[ch.node]
+	for i, x := range list {
+		if x == ch {
+			n.nodes[ch.node] = append(list[:i:i], list[i+1:]...)
+			n.conns--
+			_ = ch.cc.Close()
+			n.log.Conn(logs.FlightNode, ch.addr, ch.served, nil)
+		}
+	}
+}
+
+// Abandon implements core.Backend.
+func (n *Nodes) Abandon(a *core.Attempt) (neverRan bool) {
+	x, _ := a.Handle.(*attempt)
+	if x == nil || x.over {
+		return false
+	}
+	x.over = true
+	neverRan = x.state.CompareAndSwap(stateWaiting, stateDropped)
+	if x.cancel != nil {
+		x.cancel()
+	}
+	return neverRan
+}
+
+// DropIdle implements core.Backend.
+func (n *Nodes) DropIdle(node uint32) {
+	for _, ch := range n.nodes[node] {
+		if ch.out == 0 {
+			n.retire(ch)
+		}
+	}
+}
+
+// Close closes what is open, at the end of the program.
+func (n *Nodes) Close() {
+	for _, list := range n.nodes {
+		for _, ch := range list {
+			_ = ch.cc.Close()
+			n.log.Conn(logs.Shutdown, ch.addr, ch.served, nil)
+		}
+	}
+	clear(n.nodes)
+}
+
+// run is the goroutine of one attempt: gRPC's calls wait. It tells the loop of the outcome and touches
+// nothing else.
+func (n *Nodes) run(ctx context.Context, x *attempt, left time.Duration) {
+	defer x.cancel()
+	o, value := n.ask(ctx, x, left)
+	n.loop.Post(func() {
+		if x.ch.out--; x.ch.retired {
+			n.retire(x.ch)
+		}
+		if x.over {
+			return // given up before: a late answer is ignored
+		}
+		x.over = true
+		if o == balance.OK {
+			x.ch.served++
+		}
+		n.core.Ended(x.Attempt, o, value)
+	})
+}
+
+// ticket is what a node is asked with.
+type ticket struct {
+	ID    string `json:"id"`
+	Shard int    `json:"shard"`
+	D     int    `json:"d"`
+	Q     string `json:"q"`
+}
+
+// ask carries out one attempt.
+func (n *Nodes) ask(ctx context.Context, x *attempt, left time.Duration) (o balance.Outcome, value []byte) {
+	begin := time.Now()
+	if !n.connected(ctx, x.ch.cc) || !x.state.CompareAndSwap(stateWaiting, stateCalled) {
+		x.state.CompareAndSwap(stateWaiting, stateDropped)
+		return balance.ConnectFailed, nil // no call was begun: it never ran
+	}
+	defer func() {
+		// Guards the program against a stream whose messages break the reader.
+		if e := recover(); e != nil && value == nil {
+			o = balance.Reset
+		}
+	}()
+	t, err := json.Marshal(ticket{ID: fmt.Sprintf("%s.%d", x.Request, x.Shard), Shard: x.Shard,
+		D: max(int((left - time.Since(begin)).Milliseconds()), 1), Q: string(x.Text)})
+	if err != nil {
+		return balance.Moot, nil
+	}
+	s, err := x.ch.client.DoGet(ctx, &flight.Ticket{Ticket: t})
+	if err != nil {
+		return outcomeOf(err), nil
+	}
+	r, err := flight.NewRecordReader(s)
+	if err != nil {
+		return outcomeOf(err), nil
+	}
+	defer r.Release()
+	// The first batch is the answer: a stream that breaks after it does not undo it.
+	if !r.Next() {
+		return outcomeOf(r.Err()), nil
+	}
+	rec := r.RecordBatch()
+	if rec.NumCols() < 1 || rec.NumRows() < 1 {
+		return balance.Failed, nil
+	}
+	switch col := rec.Column(0).(type) {
+	case *array.Binary:
+		value = append([]byte{}, col.Value(0)...)
+	case *array.String:
+		value = []byte(col.Value(0))
+	default:
+		return balance.Failed, nil
+	}
+	return balance.OK, value
+}
+
+// connected waits until a connection is up, for the dial time-out at most. A refused one tells at once.
+func (n *Nodes) connected(ctx context.Context, cc *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.o.DialTimeout*1e6))
+	defer cancel()
+	state := cc.GetState()
+	if state == connectivity.TransientFailure {
+		cc.ResetConnectBackoff() // gRPC's own delay is not the module's
+		cc.WaitForStateChange(ctx, state)
+		state = cc.GetState()
+	}
+	for state != connectivity.Ready {
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown {
+			return false
+		}
+		if state == connectivity.Idle {
+			cc.Connect()
+		}
+		if !cc.WaitForStateChange(ctx, state) {
+			return false
+		}
+		state = cc.GetState()
+	}
+	return true
+}
+
+// outcomeOf maps how a call ended that had begun: only the node's own word that it is full proves that the
+// part never ran.
+func outcomeOf(err error) balance.Outcome {
+	var st interface{ GRPCStatus() *status.Status }
+	if !errors.As(err, &st) {
+		return balance.Reset // a stream that ended early or cannot be read
+	}
+	switch st.GRPCStatus().Code() {
+	case codes.ResourceExhausted:
+		return balance.Full
+	case codes.DeadlineExceeded:
+		return balance.TimedOut
+	case codes.Unavailable, codes.Canceled:
+		return balance.Reset
+	}
+	return balance.Failed
+}
