--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -165,18 +165,19 @@
 
 // conn is a client's connection.
 type conn struct {
-	server *Server
-	s      *loop.Stream
-	peer   string
-	open   *core.Request // the request being answered; the next ones wait in the buffer
-	taken  float64       // when it was taken
-	last   bool          // the connection ends once all is written
-	ended  bool          // the client has ended its side
-	closed bool
-	more   bool // read-ahead requests are about to be parsed
-	cont   bool // 100 Continue has been sent for the request that is coming
-	served int
-	since  float64 // of the last byte or answer
+	server    *Server
+	s         *loop.Stream
+	peer      string
+	open      *core.Request // the request being answered; the next ones wait in the buffer
+	taken     float64       // when it was taken
+	last      bool          // the connection ends once all is written
+	ended     bool          // the client has ended its side
+	closed    bool
+	more      bool  // read-ahead requests are about to be parsed
+	cont      bool  // 100 Continue has been sent for the request that is coming
+	malformed error // why it was rejected
+	served    int
+	since     float64 // of the last byte or answer
 }
 
 // quiet tells that nothing is under way on the connection.
@@ -258,17 +259,16 @@
 			return
 		}
 		c.cont = false
-		c.serve(m)
-		if !c.closed {
-			c.s.Consume(size)
+		if c.serve(m); c.closed || c.malformed != nil {
+			return // a rejected request has emptied the buffer: guards against consuming it twice
 		}
+		c.s.Consume(size)
 	}
 }
 
 // reject answers what cannot be read on from, and closes.
 func (c *conn) reject(status int, err error) {
-	c.server.log.Conn(logs.ClientMalformed, c.peer, c.served, err)
-	c.s.In = nil
+	c.s.In, c.malformed = nil, err
 	c.reply(response{status: status, body: errorBody(err), close: true})
 }
 
@@ -319,6 +319,9 @@
 		}
 	}
 	c.s.Close()
+	if c.malformed != nil {
+		code, err = logs.ClientMalformed, c.malformed
+	}
 	c.server.log.Conn(code, c.peer, c.served, err)
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -73,6 +73,9 @@
 	left   bool // its client has gone, and a part that must not run twice is still out
 }
 
+// Unheard tells that its client has gone: the final answer reaches nobody.
+func (r *Request) Unheard() bool { return r.left }
+
 type part struct {
 	Part
 	id       uint64
