--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -69,6 +69,12 @@
 		return err
 	}
 	files := cfg.Sockets - spareFiles
+	clientFiles := files - files/leafShare
+	if fc.Enabled {
+		// Flight's connections come out of the clients' part of the descriptors.
+		fc.Conns = min(fc.Conns, clientFiles/2)
+		clientFiles -= fc.Conns
+	}
 	nodes := discovery.NewNodes(cfg.Zones)
 	var back backend
 	if fc.Nodes {
@@ -81,7 +87,7 @@
 	watch := discovery.NewWatcher(l, c, log, nodes, cfg.Discovery)
 	c.Attach(back, watch)
 	watch.Known(cfg.Known)
-	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen, files-files/leafShare-fc.Conns,
+	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen, clientFiles,
 		func() bool { return nodes.Size() > 0 })
 	if err != nil {
 		return err
