--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -180,7 +180,8 @@
 // New makes the core and its module.
 func New(s balance.Settings, seed uint64, o Options) (*Core, error) {
 	c := &Core{classes: s.Classes, shards: s.Shards, tries: s.MaxAttempts, maxOpen: o.MaxOpen,
-		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{}, parts: map[uint64]*part{},
+		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{},
+		parts: map[uint64]*part{},
 		out: map[*Attempt]struct{}{}, timeout: math.Inf(1), wakeAt: math.Inf(1)}
 	m, err := balance.New(s, seed, c)
 	if err != nil {
