--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,136 @@
+// Package logs writes the program's log with zap, one line for each connection that ends among others, and
+// never makes the loop wait for whoever reads it. LOGS.md lists the codes.
+package logs
+
+import (
+	"os"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"ternstage/internal/core"
+)
+
+// Code is the reason for which a connection ended.
+type Code string
+
+// The reasons; LOGS.md documents them.
+const (
+	ClientDone       Code = "C01" // it asked for the close, or the answer carried it
+	ClientEnded      Code = "C02" // it closed between requests
+	ClientGone       Code = "C03" // it closed or reset while a request was open
+	ClientMalformed  Code = "C04" // answered 400
+	ClientIdle       Code = "C05" // idle, and its descriptor was needed
+	ClientSlow       Code = "C06" // a request that did not come whole in time
+	ClientWrite      Code = "C07" // the answer could not be written
+	ClientRefused    Code = "C08" // no descriptor for it
+	LeafRefused      Code = "L01"
+	LeafDialTimeout  Code = "L02"
+	LeafReset        Code = "L03"
+	LeafEnded        Code = "L04"
+	LeafIdle         Code = "L05"
+	LeafBadFrame     Code = "L06"
+	LeafStuck        Code = "L07"
+	LeafRoom         Code = "L08"
+	DiscoveryEnded   Code = "D01"
+	DiscoveryReset   Code = "D02"
+	DiscoveryRefused Code = "D03"
+	DiscoveryTimeout Code = "D04"
+	DiscoveryBad     Code = "D05"
+	Shutdown         Code = "S01"
+	FlightDone       Code = "F01"
+	FlightGone       Code = "F02"
+	FlightNode       Code = "F03"
+)
+
+const (
+	queueLines = 1024
+	syncWait   = 200 * time.Millisecond
+)
+
+// Log is the program's log.
+type Log struct {
+	*zap.Logger
+	w *writer
+}
+
+// New opens the log on a file, usually standard error.
+func New(f *os.File, name string) *Log {
+	w := &writer{lines: make(chan []byte, queueLines), idle: make(chan chan struct{})}
+	go w.run(f)
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.ISO8601TimeEncoder
+	z := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), w, zap.InfoLevel)).With(zap.String("node", name))
+	return &Log{z, w}
+}
+
+// Conn notes that a connection has ended.
+func (l *Log) Conn(code Code, peer string, served int, err error) {
+	f := []zap.Field{zap.String("code", string(code)), zap.String("peer", peer), zap.Int("served", served)}
+	if err != nil {
+		f = append(f, zap.Error(err))
+	}
+	l.Info("connection ended", f...)
+}
+
+// Module implements core.Log.
+func (l *Log) Module(text string) { l.Info("module", zap.String("text", text)) }
+
+// Ended implements core.Log: what was not served, or reached nobody, is worth a line.
+func (l *Log) Ended(r *core.Request, a core.Answer) {
+	if a.Kind != core.Answered || r.Unheard() {
+		l.Info("request ended", zap.String("id", r.Name), zap.Stringer("end", a.Kind), zap.Int("class", r.Class),
+			zap.Bool("client_left", r.Unheard()))
+	}
+}
+
+// Close writes out what is queued, for a short time at most.
+func (l *Log) Close() {
+	done := make(chan struct{})
+	select {
+	case l.w.idle <- done:
+	case <-time.After(syncWait):
+		return
+	}
+	select {
+	case <-done:
+	case <-time.After(syncWait):
+	}
+}
+
+// writer hands lines to a thread of its own. Guards the loop against a reader of the log that stalls: lines
+// beyond the queue are dropped and counted.
+type writer struct {
+	lines   chan []byte
+	idle    chan chan struct{}
+	dropped atomic.Uint64
+}
+
+// Write implements zapcore.WriteSyncer.
+func (w *writer) Write(b []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), b...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (w *writer) Sync() error { return nil }
+
+func (w *writer) run(f *os.File) {
+	for {
+		select {
+		case b := <-w.lines:
+			_, _ = f.Write(b)
+		case done := <-w.idle:
+			for len(w.lines) > 0 {
+				_, _ = f.Write(<-w.lines)
+			}
+			close(done)
+		}
+	}
+}
