--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+.PHONY: build test lint run
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+lint:
+	@bad=$$(gofmt -l .); if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
+	go vet ./...
+	@wide=$$(awk 'length($$0) > 110 {print FILENAME ":" FNR}' $$(git ls-files '*.go' ':!*_test.go')); \
+	if [ -n "$$wide" ]; then echo "lines over 110 characters: $$wide"; exit 1; fi
+
+run: build
+	exec bin/ternstage
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -182,7 +182,7 @@
 	c := &Core{classes: s.Classes, shards: s.Shards, tries: s.MaxAttempts, maxOpen: o.MaxOpen,
 		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{},
 		parts: map[uint64]*part{},
-		out: map[*Attempt]struct{}{}, timeout: math.Inf(1), wakeAt: math.Inf(1)}
+		out:   map[*Attempt]struct{}{}, timeout: math.Inf(1), wakeAt: math.Inf(1)}
 	m, err := balance.New(s, seed, c)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,5 +1,5 @@
 // Package logs writes the program's log with zap, one line for each connection that ends among others, and
-// never makes the loop wait for whoever reads it. LOGS.md lists the codes.
+// never makes the loop wait for whoever reads it. docs/LOGS.md lists the codes.
 package logs
 
 import (
@@ -16,7 +16,7 @@
 // Code is the reason for which a connection ended.
 type Code string
 
-// The reasons; LOGS.md documents them.
+// The reasons; docs/LOGS.md documents them.
 const (
 	ClientDone       Code = "C01" // it asked for the close, or the answer carried it
 	ClientEnded      Code = "C02" // it closed between requests
@@ -24,7 +24,6 @@
 	ClientMalformed  Code = "C04" // answered 400
 	ClientIdle       Code = "C05" // idle, and its descriptor was needed
 	ClientSlow       Code = "C06" // a request that did not come whole in time
-	ClientWrite      Code = "C07" // the answer could not be written
 	ClientRefused    Code = "C08" // no descriptor for it
 	LeafRefused      Code = "L01"
 	LeafDialTimeout  Code = "L02"
@@ -41,7 +40,6 @@
 	DiscoveryBad     Code = "D05"
 	Shutdown         Code = "S01"
 	FlightDone       Code = "F01"
-	FlightGone       Code = "F02"
 	FlightNode       Code = "F03"
 )
 
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -95,6 +95,8 @@
 	ends  []time.Time // of answers
 	down  bool
 	raw   [][]byte // answers as sent
+
+	targets []string // of calls
 }
 
 func newDiscovery(t *testing.T, members []member) *discovery {
@@ -110,7 +112,7 @@
 func (d *discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.calls = append(d.calls, time.Now())
+	d.calls, d.targets = append(d.calls, time.Now()), append(d.targets, r.URL.RequestURI())
 	index, _ := strconv.Atoi(r.URL.Query().Get("index"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
 	by := time.After(time.Duration(wait) * time.Millisecond)
--- a/test/standin_test.go
+++ b/test/standin_test.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,8 +58,8 @@
 	do      func(s sent, nth int) deed
 	let     chan struct{}
 	mu      sync.Mutex
+	wire    [][]byte // frames both ways, without their lengths
 	sends   []*sent
-	n       atomic.Int64
 }
 
 // startNodes starts four nodes; dead ones are listed and refuse connections.
@@ -119,6 +118,29 @@
 	return out
 }
 
+// frames are the frames that went both ways.
+func (ns *nodes) frames() [][]byte {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	return append([][]byte(nil), ns.wire...)
+}
+
+// abandoned are the frames that gave a part up.
+func (ns *nodes) abandoned() (out [][]byte) {
+	for _, f := range ns.frames() {
+		if f[0] == 'X' {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func (ns *nodes) note(f []byte) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	ns.wire = append(ns.wire, f)
+}
+
 func doc(id string) string { return "doc of " + id }
 
 // wire is one of the two ways in and out: stand-in clients and nodes that speak it.
@@ -288,6 +310,7 @@
 		if _, err := io.ReadFull(r, body); err != nil {
 			return
 		}
+		ns.note(body)
 		for rest := body[1:]; body[0] == 'Q' && len(rest) > 0; {
 			line, more, _ := bytes.Cut(rest, []byte{'\n'})
 			f := strings.Fields(string(line))
@@ -309,6 +332,7 @@
 	}
 	ok := frame('A', s.id+" ok 17 -\n"+doc(s.id))
 	ns.over(s)
+	ns.note(ok[4:])
 	switch d {
 	case fail:
 		_, _ = c.Write(frame('A', s.id+" err 0 -\n"))
