Guard request ids in use, bound buffers tighter, and let the watch survive a close behind its answer

Seen by reading: a frame of 256 KiB in part would have kept leafs.conn.read in its loop; 700 clients could have held 144 KiB each. A request id in use is turned away over both fronts (suite case 'request id in use'). One test run in four had failed after waiting 15 s for the program to serve; a port found free on 127.0.0.1 could go to another test's outgoing connection.

--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -107,7 +107,8 @@
 		<-signals
 		l.Post(stop.begin)
 	}()
-	log.Info("serving", zap.String("listen", cfg.Listen), zap.Int("known", nodes.Size()))
+	log.Info("serving", zap.String("listen", cfg.Listen), zap.Int("known", nodes.Size()),
+		zap.Bool("flight", fc.Enabled), zap.Int("goroutines", runtime.NumGoroutine()))
 	if err := l.Run(); err != nil {
 		return err
 	}
@@ -115,7 +116,8 @@
 	back.Close()
 	watch.Close()
 	log.Info("stopped", zap.Uint64("taken", taken), zap.Uint64("answered", ends[core.Answered]),
-		zap.Uint64("refused", ends[core.Refused]), zap.Uint64("failed", ends[core.Failed]))
+		zap.Uint64("refused", ends[core.Refused]), zap.Uint64("failed", ends[core.Failed]),
+		zap.Uint64("log_lines_dropped", log.Dropped()), zap.Int("goroutines", runtime.NumGoroutine()))
 	return nil
 }
 
@@ -143,7 +145,7 @@
 	front  *flight.Front // nil where Flight is off
 	timer  *loop.Timer
 	began  float64
-	ended  bool // the Flight front has
+	ending bool // the Flight front is
 }
 
 func (s *stopper) begin() {
@@ -162,9 +164,9 @@
 	}
 	if past >= listenOn {
 		s.server.StopListening()
-		if !s.ended && s.front != nil {
-			s.front.Stop(func() { s.ended, s.front = true, nil })
-			s.ended = true
+		if s.front != nil && !s.ending {
+			s.ending = true
+			s.front.Stop(func() { s.front = nil })
 		}
 		if s.core.Open() == 0 && s.front == nil && s.server.Open() == 0 || past >= exitBy {
 			s.loop.Stop()
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -19,10 +19,11 @@
 }
 
 const (
-	maxIn      = maxHead + 2*maxBody // bytes a connection holds unparsed: chunking may double a small body
-	slowMost   = 10_000.0            // ms that a request may take to arrive whole
-	halfClose  = 20.0                // ms after a request in which an end of the client's side is a half-close
-	acceptRest = 50.0                // ms without accepting after EMFILE: guards against a spin
+	maxIn = maxHead + maxBody + 8<<10 // bytes a connection holds unparsed; 8 KiB for the sizes of chunks
+
+	slowMost   = 10_000.0 // ms that a request may take to arrive whole
+	halfClose  = 20.0     // ms after a request in which an end of the client's side is a half-close
+	acceptRest = 50.0     // ms without accepting after EMFILE: guards against a spin
 	tendEvery  = 1000.0
 	acceptMost = 256 // connections taken in one wake-up
 )
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -159,6 +159,7 @@
 
 	nextID   uint64
 	requests map[uint64]*Request
+	names    map[string]bool // of the requests held
 	parts    map[uint64]*part
 	out      map[*Attempt]struct{}
 	ending   []result // reported, and not yet told to the module
@@ -181,8 +182,8 @@
 func New(s balance.Settings, seed uint64, o Options) (*Core, error) {
 	c := &Core{classes: s.Classes, shards: s.Shards, tries: s.MaxAttempts, maxOpen: o.MaxOpen,
 		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{},
-		parts: map[uint64]*part{},
-		out:   map[*Attempt]struct{}{}, timeout: math.Inf(1), wakeAt: math.Inf(1)}
+		parts: map[uint64]*part{}, names: map[string]bool{},
+		out: map[*Attempt]struct{}{}, timeout: math.Inf(1), wakeAt: math.Inf(1)}
 	m, err := balance.New(s, seed, c)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
@@ -214,6 +215,11 @@
 	if len(r.Parts) == 0 || math.Abs(sum-1) > 0.01 {
 		return fmt.Errorf("%w: %d parts, weights that sum to %.3f", ErrContract, len(r.Parts), sum)
 	}
+	// The name is the parts' name at the nodes: guards against one client's answer going to another, and a part
+	// that must not run twice against a client that comes again while it is out.
+	if c.names[r.Name] {
+		return fmt.Errorf("%w: request id %q is in use", ErrContract, r.Name)
+	}
 	now := c.clock.Now()
 	c.taken++
 	// The stated limit of queries and parts held: beyond it the module does not see the query.
@@ -224,7 +230,7 @@
 	c.nextID++
 	r.id, r.unsafe = c.nextID, c.classes[r.Class].Effect == balance.Unsafe
 	group := int(r.id)
-	c.requests[r.id] = r
+	c.requests[r.id], c.names[r.Name] = r, true
 	c.open += 1 + len(r.Parts)
 	c.module.QueryArrived(now, balance.Query{ID: r.id, Group: group, Class: r.Class, Tenant: r.Tenant,
 		Deadline: r.Deadline, Repeat: r.Repeat})
@@ -346,6 +352,7 @@
 
 func (c *Core) forget(r *Request) {
 	delete(c.requests, r.id)
+	delete(c.names, r.Name)
 	for _, p := range r.parts {
 		delete(c.parts, p.id)
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -126,11 +126,16 @@
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		eof, err := w.s.Read(maxAnswer)
-		s := w.s
+		s, calls := w.s, w.calls
 		if w.answer(); w.s != s {
-			return // it failed, and the connection is closed
+			return // the connection is closed
 		}
 		switch {
+		case eof && w.calls > calls:
+			// Its end came right behind an answer: the watch goes on over a new connection.
+			w.drop(logs.DiscoveryEnded, nil)
+			w.call()
+			return
 		case err != nil:
 			w.fail(logs.DiscoveryReset, err)
 			return
--- a/internal/leafs/conn.go
+++ b/internal/leafs/conn.go
@@ -55,6 +55,7 @@
 func (c *conn) read() bool {
 	for {
 		eof, err := c.s.Read(maxRead)
+		full := len(c.s.In) == maxRead // more may be waiting; a long frame in part alone is no reason to go on
 		if !c.parse() {
 			return false
 		}
@@ -65,7 +66,7 @@
 		case eof:
 			c.close(logs.LeafEnded, nil)
 			return false
-		case len(c.s.In) < maxRead/2:
+		case !full:
 			return true
 		}
 	}
--- a/internal/leafs/frame.go
+++ b/internal/leafs/frame.go
@@ -22,7 +22,7 @@
 
 const (
 	frameHead = 4
-	maxFrame  = 256 << 10 // bytes: a longer one is not of this protocol
+	maxFrame  = 80 << 10 // bytes: a value goes into a body of 64 KiB at most
 )
 
 var errFrame = errors.New("the frame cannot be used")
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -73,6 +73,9 @@
 	l.Info("connection ended", f...)
 }
 
+// Dropped is how many lines found no room.
+func (l *Log) Dropped() uint64 { return l.w.dropped.Load() }
+
 // Module implements core.Log.
 func (l *Log) Module(text string) { l.Info("module", zap.String("text", text)) }
 
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -160,6 +160,7 @@
 	{name: "unknown class", class: "checkout", shards: []int{1}, end: "unknown"},
 	{name: "unknown tenant", class: "quote", shards: []int{1}, tenant: "nobody", end: "denied"},
 	{name: "client cancel after a bind part was sent", do: first(serveOnceLet), sends: 1, act: cancelled},
+	{name: "request id in use", do: first(serveOnceLet), sends: 1, act: twice},
 	{name: "draining node gets nothing new", act: drained},
 	{name: "what is taken before SIGTERM is answered", do: always(serveOnceLet), sends: 1, act: terminated},
 	{name: "many at once", act: many},
@@ -187,6 +188,17 @@
 	r.p.waitLog(`"id":"bind-left","end":"answered","class":1,"client_left":true`)
 }
 
+// twice: a second request of the same id is turned away while the first is out, which is answered.
+func twice(r *run) {
+	q := query{id: "bind-same", class: "bind", tenant: "gangasagar-life", shards: []int{1}, wait: time.Second}
+	answer := make(chan reply)
+	go func() { answer <- r.over.ask(context.Background(), r.p, q) }()
+	require.Eventually(r.t, func() bool { return len(r.nodes.all()) == 1 }, patience, time.Millisecond)
+	assert.Equal(r.t, "invalid", r.over.ask(context.Background(), r.p, q).end)
+	close(r.nodes.let)
+	assert.Equal(r.t, "served", (<-answer).end)
+}
+
 // drained: the broker is told, and a second later the node gets nothing more.
 func drained(r *run) {
 	for i := range 12 {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -186,8 +187,17 @@
 	memory   int
 }
 
+// ownAddress is a loopback address of its own with any free port: no connection that goes out from 127.0.0.1 in
+// another test can take the port between its being found and its being used.
+func ownAddress() string {
+	n, pid := int(addresses.Add(1)), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid%250, n/250, 1+n%250)
+}
+
+var addresses atomic.Int64
+
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", ownAddress())
 	require.NoError(t, err)
 	defer ln.Close()
 	return ln.Addr().String()
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -139,6 +139,36 @@
 	assert.Less(t, used()-before, 100*time.Millisecond, "the loop spins")
 }
 
+// TestMemory: clients that all send the largest body but for its last byte keep the broker within its memory.
+func TestMemory(t *testing.T) {
+	_, p := site(t, nil, options{})
+	body := strings.Repeat("x", 64<<10)
+	for i := range 700 {
+		_, err := io.WriteString(dial(t, p), sized(fmt.Sprint("m", i), body)[:64<<10])
+		require.NoError(t, err)
+	}
+	require.Equal(t, 200, p.health())
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Process.Pid))
+	require.NoError(t, err)
+	var kb int
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	_, err = fmt.Sscan(rest, &kb)
+	require.NoError(t, err)
+	t.Logf("%d MB at most", kb>>10)
+	assert.Less(t, kb>>10, 192)
+}
+
+// TestFlightOff: where Flight is off it has no socket, and no goroutine beside the loop's, the log's and two for
+// signals.
+func TestFlightOff(t *testing.T) {
+	_, p := site(t, nil, options{})
+	_, err := net.Dial("tcp", p.grpc)
+	assert.Error(t, err)
+	p.stop()
+	assert.Equal(t, 1, strings.Count(p.logged(), `"goroutines":4`), p.logged())
+	assert.Contains(t, p.logged(), `"goroutines":3`, "the one that waits for the signal has ended")
+}
+
 // cpu is what a process has used, from its ticks of 10 ms.
 func cpu(t *testing.T, pid int) time.Duration {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- a/test/standin_test.go
+++ b/test/standin_test.go
@@ -66,7 +66,7 @@
 func startNodes(t *testing.T, over wire, do func(s sent, nth int) deed, dead ...int) *nodes {
 	ns := &nodes{do: do, let: make(chan struct{})}
 	for i := range 4 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", ownAddress())
 		require.NoError(t, err)
 		m := member{ID: fmt.Sprintf("s-%d", i), Address: ln.Addr().String(), Locality: "salt-lake", Cell: i,
 			Phase: "SERVING", Size: 1}
