SIGHUP reads the configuration again and moves discovery to its new address

Nothing in cmd/ternstage asked for SIGHUP, so its default action ended the program (main.go had Notify for SIGTERM and SIGINT only).

internal/reload owns the signal: file read and validated beside the loop, put into force on it; a bad file changes nothing and is named in the log.

--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -21,6 +21,7 @@
 	"ternstage/internal/leafs"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
+	"ternstage/internal/reload"
 )
 
 const (
@@ -41,6 +42,9 @@
 }
 
 func run() error {
+	// Before anything else: guards against a signal whose default action would end the program while it starts.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, unix.SIGHUP)
 	cfg, err := config.Load()
 	if err != nil {
 		return err
@@ -107,6 +111,7 @@
 		<-signals
 		l.Post(stop.begin)
 	}()
+	go reload.New(l, log, watch, cfg).Serve(hangups)
 	log.Info("serving", zap.String("listen", cfg.Listen), zap.Int("known", nodes.Size()),
 		zap.Bool("flight", fc.Enabled), zap.Int("goroutines", runtime.NumGoroutine()))
 	if err := l.Run(); err != nil {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,7 @@
 	Zones     []string
 	Module    balance.Settings
 	Book      *contract.Book
+	Settings  any // as written, to tell one configuration from another
 
 	MaxOpen     int
 	Streams     int
@@ -82,12 +83,20 @@
 	defaultStreams     = 32
 	defaultDialTimeout = 250
 	defaultKeepAlive   = 30_000
-	leastMemoryMB      = 48 // below, the program's own text and tables leave no room
+	leastMemoryMB      = 24 // below, the program's own text and tables leave no room
 	leastSockets       = 64
 )
 
+const envDiscovery = "BALANCER_DISCOVERY"
+
 // Load reads the file that BALANCER_CONFIG names; BALANCER_NAME, _LISTEN and _DISCOVERY override it.
-func Load() (*Config, error) {
+func Load() (*Config, error) { return load(false) }
+
+// Reload reads the file again. The environment is that of the start: what the file says of discovery is
+// newer.
+func Reload() (*Config, error) { return load(true) }
+
+func load(again bool) (*Config, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG: missing")
@@ -96,11 +105,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("BALANCER_CONFIG: %w", err)
 	}
-	return Parse(text, os.Getenv)
+	return Parse(text, os.Getenv, again)
 }
 
-// Parse reads the configuration's text.
-func Parse(text []byte, env func(string) string) (*Config, error) {
+// Parse reads the configuration's text; again tells that it is read once more, by a program that runs.
+func Parse(text []byte, env func(string) string, again bool) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
@@ -108,8 +117,8 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"BALANCER_NAME", &f.Name}, {"BALANCER_LISTEN", &f.Listen}, {"BALANCER_DISCOVERY", &f.Discovery}} {
-		if s := env(v.name); s != "" {
+	}{{"BALANCER_NAME", &f.Name}, {"BALANCER_LISTEN", &f.Listen}, {envDiscovery, &f.Discovery}} {
+		if s := env(v.name); s != "" && !(again && v.name == envDiscovery && f.Discovery != "") {
 			*v.to = s
 		}
 	}
@@ -147,7 +156,7 @@
 		return err
 	}
 	var s settings
-	if err := json.Unmarshal(text, &s); err != nil {
+	if err := errors.Join(json.Unmarshal(text, &s), json.Unmarshal(text, &c.Settings)); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	l := s.Limits
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -69,7 +69,20 @@
 	}
 	w.calling = true
 	// The module calls from the middle of its turn; the answer, a failure too, comes from the loop.
-	w.loop.Post(w.call)
+	w.loop.Post(func() {
+		if w.calling && w.s == nil { // a move may have come between
+			w.call()
+		}
+	})
+}
+
+// Move goes on at another address, at once: the whole list is asked for anew, as versions need not be the
+// same there. The old connection is closed with whatever it still holds, so that neither its late answer nor
+// its end is taken for the new one's.
+func (w *Watcher) Move(address string) {
+	w.drop(logs.DiscoveryMoved, nil)
+	w.address, w.revision, w.have, w.calling = address, 0, false, true
+	w.call()
 }
 
 // call sends the next call of the watch, on the connection of the last if that is still open.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -38,6 +38,7 @@
 	DiscoveryRefused Code = "D03"
 	DiscoveryTimeout Code = "D04"
 	DiscoveryBad     Code = "D05"
+	DiscoveryMoved   Code = "D06"
 	Shutdown         Code = "S01"
 	FlightDone       Code = "F01"
 	FlightNode       Code = "F03"
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -160,6 +160,7 @@
 	*exec.Cmd
 	t          *testing.T
 	addr, grpc string
+	config     string // its file
 	discovery  *discovery
 	mu         sync.Mutex
 	log        bytes.Buffer
@@ -207,7 +208,7 @@
 func launch(t *testing.T, config []byte, env ...string) *program {
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, config, 0o600))
-	p := &program{Cmd: exec.Command(built), t: t, done: make(chan error, 1)}
+	p := &program{Cmd: exec.Command(built), t: t, config: path, done: make(chan error, 1)}
 	p.Env = append(append(os.Environ(), "BALANCER_CONFIG="+path), env...)
 	p.Stderr = p
 	require.NoError(t, p.Start())
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -158,15 +158,15 @@
 	assert.Less(t, kb>>10, 192)
 }
 
-// TestFlightOff: where Flight is off it has no socket, and no goroutine beside the loop's, the log's and two for
-// signals.
+// TestFlightOff: where Flight is off it has no socket, and no goroutine beside the loop's, the log's, two for
+// signals and the one that reads the file again.
 func TestFlightOff(t *testing.T) {
 	_, p := site(t, nil, options{})
 	_, err := net.Dial("tcp", p.grpc)
 	assert.Error(t, err)
 	p.stop()
-	assert.Equal(t, 1, strings.Count(p.logged(), `"goroutines":4`), p.logged())
-	assert.Contains(t, p.logged(), `"goroutines":3`, "the one that waits for the signal has ended")
+	assert.Equal(t, 1, strings.Count(p.logged(), `"goroutines":5`), p.logged())
+	assert.Contains(t, p.logged(), `"goroutines":4`, "the one that waits for the signal has ended")
 }
 
 // cpu is what a process has used, from its ticks of 10 ms.
