Spoilt answers end their connection, and calls share one only when there are many

A trace of the frames shows what a good answer is: id, end, a number as score, a report, a value. Spoilt ones carry an id that nobody asked, an end of "?", "0" or nothing, a foreign letter, a length of 0, 3 or 4 GB, or noise; good ones a second copy or noise right behind, or a report such as "nan" or "=,=". At fault: leafs/conn.go frame() passed over an id that is not out ("a late answer is ignored"), so a dead connection stayed in use and every later part on it timed out. close() reported Reset for all beside it, which the module takes for a lost process, cold when it serves again: allowance gone for 18 s. pool.go place() chose the fullest connection, so one spoilt answer took 1 to 3 others along (up to 13). parseAnswer split the report at spaces and failed good answers. Ruled out: CPU (0.1 of 0.25 cores), memory (7 MB), discovery.

Now: anything but a good answer to a part that is out fails that attempt and closes; the others out on it are told as cancelled by us. A leaf gets up to 4 connections before calls share. A part given up with nothing heard retires its connection and those idle all the while. Parts that must not run twice take no connection idle for over 250 ms. A frame must be whole in 300 ms. The watch waits 3 s. Clients: one parser state for each connection, so bytes are read once; a request must be whole in 2 s, the rest behind a last answer is thrown away within bounds, answers left unread stop the reading, all connections share a sixth of the memory.

--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -29,6 +29,7 @@
 	memoryShare = 0.6    // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
 	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
 	leafShare   = 4      // one in so many of the others is for leafs
+	clientBytes = 6      // one in so many bytes of the memory is for what clients send and are sent
 	takeOn      = 450.0  // ms after SIGTERM in which clients still come: connections are kept open for them
 	listenOn    = 650.0  // ms after SIGTERM until the listener closes
 	exitBy      = 60_000 // ms after SIGTERM at the latest
@@ -91,7 +92,8 @@
 	watch := discovery.NewWatcher(l, c, log, nodes, cfg.Discovery)
 	c.Attach(back, watch)
 	watch.Known(cfg.Known)
-	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen, clientFiles,
+	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
+		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes},
 		func() bool { return nodes.Size() > 0 })
 	if err != nil {
 		return err
--- a/internal/clients/http.go
+++ b/internal/clients/http.go
@@ -14,6 +14,8 @@
 	maxHead   = 16 << 10
 	maxBody   = 64 << 10
 	maxFields = 100
+
+	maxChunkLine = 1024
 )
 
 // What can be wrong with a request; each is answered and the connection closed.
@@ -21,6 +23,8 @@
 	errMalformed = errors.New("malformed request")
 	errTooLarge  = errors.New("body over 64 KiB")
 	errHead      = errors.New("header over 16 KiB")
+	errSlow      = errors.New("the request did not come whole in time")
+	errCrowded   = errors.New("no memory for a request that does not come whole")
 )
 
 // message is one HTTP request.
@@ -32,33 +36,65 @@
 	expect       bool // it waits for 100 Continue
 }
 
-// parse takes one request off in. size is 0 while it is not whole; m is then set once its head is.
-func parse(in []byte) (m *message, size int, err error) {
+// parser takes requests off a connection's input. It keeps what it has understood of the one that is
+// coming, so that each byte is dealt with once: guards the loop against clients that send theirs one by
+// one.
+type parser struct {
+	m    *message // set once its head is whole
+	at   int      // bytes of the input dealt with
+	body int      // length of a sized body; -1 for chunks
+	tail int      // where the trailer of a chunked body begins; 0 before the last chunk
+}
+
+// next takes one request off in, which must be what the last call saw and more. size is 0 while it is not
+// whole.
+func (p *parser) next(in []byte) (m *message, size int, err error) {
+	if p.m == nil {
+		if err := p.head(in); p.m == nil || err != nil {
+			return nil, 0, err
+		}
+	}
+	m = p.m
+	if p.body >= 0 {
+		if size = p.at + p.body; len(in) < size {
+			return nil, 0, nil
+		}
+		m.body = in[p.at:size]
+	} else if size, err = p.unchunk(in); size == 0 || err != nil {
+		return nil, 0, err
+	}
+	*p = parser{}
+	return m, size, nil
+}
+
+// head reads the head once it is whole.
+func (p *parser) head(in []byte) error {
 	start := 0
 	for start < len(in) && (in[start] == '\r' || in[start] == '\n') && start < 4 {
 		start++ // an empty line before a request is passed over
 	}
-	end := bytes.Index(in[start:], []byte("\r\n\r\n"))
-	if end < 0 {
+	from := max(start, p.at-3)
+	end := bytes.Index(in[from:], []byte("\r\n\r\n"))
+	if p.at = len(in); end < 0 {
 		if len(in) > maxHead {
-			return nil, 0, errHead
+			return errHead
 		}
-		return nil, 0, nil
+		return nil
 	}
-	if end > maxHead {
-		return nil, 0, errHead
+	if end += from; end-start > maxHead {
+		return errHead
 	}
-	head, at := string(in[start:start+end]), start+end+4
-	m = &message{header: map[string]string{}}
-	line, fields, _ := strings.Cut(head, "\r\n")
+	m := &message{header: map[string]string{}}
+	line, fields, _ := strings.Cut(string(in[start:end]), "\r\n")
 	f := strings.Split(line, " ")
-	if len(f) != 3 || f[0] == "" || !strings.HasPrefix(f[1], "/") || f[2] != "HTTP/1.1" && f[2] != "HTTP/1.0" {
-		return nil, 0, errMalformed
+	if len(f) != 3 || !token(f[0]) || !strings.HasPrefix(f[1], "/") ||
+		f[2] != "HTTP/1.1" && f[2] != "HTTP/1.0" {
+		return errMalformed
 	}
 	m.method, m.close = f[0], f[2] == "HTTP/1.0"
 	m.path, _, _ = strings.Cut(f[1], "?")
 	if err := m.fields(fields); err != nil {
-		return nil, 0, err
+		return err
 	}
 	for _, t := range strings.Split(m.header["connection"], ",") {
 		m.close = m.close || strings.EqualFold(strings.TrimSpace(t), "close")
@@ -66,31 +102,35 @@
 	m.expect = strings.EqualFold(m.header["expect"], "100-continue")
 	coding, chunked := m.header["transfer-encoding"]
 	length, sized := m.header["content-length"]
-	switch {
-	case chunked && (sized || !strings.EqualFold(coding, "chunked")):
-		return nil, 0, errMalformed // two lengths: guards against smuggled requests
-	case chunked:
-		body, n, err := unchunk(in[at:])
-		if err != nil || n == 0 {
-			return m, 0, err
-		}
-		m.body = body
-		return m, at + n, nil
-	case sized:
-		n, err := strconv.ParseUint(length, 10, 31)
+	if chunked && (sized || !strings.EqualFold(coding, "chunked")) {
+		return errMalformed // two lengths: guards against smuggled requests
+	}
+	p.body = 0
+	if chunked {
+		p.body = -1
+	} else if sized {
+		n, err := strconv.ParseUint(length, 10, 63)
 		if err != nil {
-			return nil, 0, errMalformed
+			return errMalformed
 		}
 		if n > maxBody {
-			return nil, 0, errTooLarge
+			return errTooLarge
 		}
-		if len(in) < at+int(n) {
-			return m, 0, nil
+		p.body = int(n)
+	}
+	p.m, p.at = m, end+4
+	return nil
+}
+
+// token tells that s is a word as HTTP has them: guards against names that another parser would read
+// otherwise.
+func token(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c > '~' || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+			return false
 		}
-		m.body = in[at : at+int(n)]
-		return m, at + int(n), nil
 	}
-	return m, at, nil
+	return s != ""
 }
 
 func (m *message) fields(text string) error {
@@ -99,13 +139,14 @@
 		var line string
 		line, text, _ = strings.Cut(text, "\r\n")
 		name, value, ok := strings.Cut(line, ":")
-		if n++; !ok || name == "" || strings.ContainsAny(name, " \t\r\n\x00") || n > maxFields ||
+		if n++; !ok || !token(name) || n > maxFields ||
 			strings.ContainsAny(value, "\r\n\x00") {
 			return errMalformed
 		}
 		name, value = strings.ToLower(name), strings.Trim(value, " \t")
 		if old, twice := m.header[name]; twice {
-			if name == "content-length" && old != value || name == "transfer-encoding" {
+			if name == "content-length" && old != value || name == "transfer-encoding" ||
+				strings.HasPrefix(name, "x-") {
 				return errMalformed
 			}
 			continue
@@ -115,56 +156,56 @@
 	return nil
 }
 
-// unchunk reads a chunked body; n is 0 while it is not whole.
-func unchunk(in []byte) (body []byte, n int, err error) {
-	for at := 0; ; {
-		end := bytes.Index(in[at:], []byte("\r\n"))
+// unchunk reads a chunked body on; size is 0 while it is not whole.
+func (p *parser) unchunk(in []byte) (size int, err error) {
+	for p.tail == 0 {
+		end := bytes.Index(in[p.at:], []byte("\r\n"))
 		if end < 0 {
-			if len(in)-at > 1024 {
-				return nil, 0, errMalformed
+			if len(in)-p.at > maxChunkLine {
+				return 0, errMalformed
 			}
-			return nil, 0, nil
+			return 0, nil
 		}
-		text, _, _ := strings.Cut(string(in[at:at+end]), ";")
-		size, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
+		text, _, _ := strings.Cut(string(in[p.at:p.at+end]), ";")
+		n, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
 		if err != nil {
-			return nil, 0, errMalformed
+			return 0, errMalformed
 		}
-		if at += end + 2; size == 0 {
-			return trailer(in, at, body)
+		at := p.at + end + 2
+		if n == 0 {
+			p.at, p.tail = at, at
+			break
 		}
-		if len(body)+int(size) > maxBody {
-			return nil, 0, errTooLarge
+		if len(p.m.body)+int(n) > maxBody {
+			return 0, errTooLarge
 		}
-		if len(in) < at+int(size)+2 {
-			return nil, 0, nil
+		if len(in) < at+int(n)+2 {
+			return 0, nil
 		}
-		body = append(body, in[at:at+int(size)]...)
-		if at += int(size); in[at] != '\r' || in[at+1] != '\n' {
-			return nil, 0, errMalformed
+		p.m.body = append(p.m.body, in[at:at+int(n)]...)
+		if at += int(n); in[at] != '\r' || in[at+1] != '\n' {
+			return 0, errMalformed
 		}
-		at += 2
+		p.at = at + 2
 	}
-}
-
-// trailer passes over the fields after the last chunk.
-func trailer(in []byte, at int, body []byte) ([]byte, int, error) {
-	for from := at; ; {
-		end := bytes.Index(in[at:], []byte("\r\n"))
+	// The trailer is passed over.
+	for {
+		end := bytes.Index(in[p.at:], []byte("\r\n"))
 		if end < 0 {
-			if len(in)-from > maxHead {
-				return nil, 0, errHead
+			if len(in)-p.tail > maxHead {
+				return 0, errHead
 			}
-			return nil, 0, nil
+			return 0, nil
 		}
-		if at += end + 2; end == 0 {
-			return body, at, nil
+		if p.at += end + 2; end == 0 {
+			return p.at, nil
 		}
 	}
 }
 
 var reasons = map[int]string{200: "OK", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
-	405: "Method Not Allowed", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+	405: "Method Not Allowed", 408: "Request Timeout", 413: "Content Too Large",
+	431: "Request Header Fields Too Large",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout"}
 
 // response is what a request is answered with.
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -51,9 +51,9 @@
 		c.reject(400, fmt.Errorf("%w: the path and X-Class name two classes", errMalformed))
 		return
 	}
-	wait, err := strconv.ParseFloat(m.header["x-deadline"], 64)
-	if err != nil {
-		wait = 0 // refused below as missing
+	wait := 0.0 // refused below as missing
+	if text := m.header["x-deadline"]; strings.Trim(text, "0123456789.") == "" {
+		wait, _ = strconv.ParseFloat(text, 64)
 	}
 	now := c.server.loop.Now()
 	r, err := c.server.book.Read(contract.Envelope{ID: m.header["x-request-id"], Class: class,
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -21,10 +21,16 @@
 const (
 	maxIn = maxHead + maxBody + 8<<10 // bytes a connection holds unparsed; 8 KiB for the sizes of chunks
 
-	slowMost   = 10_000.0 // ms that a request may take to arrive whole
-	halfClose  = 20.0     // ms after a request in which an end of the client's side is a half-close
-	acceptRest = 50.0     // ms without accepting after EMFILE: guards against a spin
-	tendEvery  = 1000.0
+	maxOut = 64 << 10 // bytes of answers that wait for the client, over which no more requests are read
+
+	wholeMost  = 2000.0 // ms for a request to come whole, from its first byte, the first from the connect on
+	idleMost   = 5000.0 // ms between requests; the client opens a new connection when it needs one
+	takeMost   = 2000.0 // ms that a client may leave its answer unread
+	lingerMost = 500.0  // ms in which what a client still sends is thrown away behind our last answer
+	lingerRead = 256 << 10
+	halfClose  = 20.0 // ms after a request in which an end of the client's side is a half-close
+	acceptRest = 50.0 // ms without accepting after EMFILE: guards against a spin
+	tendEvery  = 200.0
 	acceptMost = 256 // connections taken in one wake-up
 )
 
@@ -36,6 +42,8 @@
 	log      *logs.Log
 	ready    func() bool
 	most     int
+	budget   int // bytes that all connections may hold
+	held     int // bytes that they do
 	fd       int
 	conns    map[*conn]struct{}
 	timer    *loop.Timer // looks after slow clients
@@ -44,15 +52,21 @@
 	onIdle   func()
 }
 
-// NewServer listens. ready tells whether the program serves; most is how many connections it may hold.
-func NewServer(l *loop.Loop, c Core, b *contract.Book, log *logs.Log, address string, most int,
+// Options are the limits of the front.
+type Options struct {
+	Conns int // connections
+	Bytes int // of requests and answers on them, at any moment
+}
+
+// NewServer listens. ready tells whether the program serves.
+func NewServer(l *loop.Loop, c Core, b *contract.Book, log *logs.Log, address string, o Options,
 	ready func() bool) (*Server, error) {
 	fd, err := loop.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{loop: l, core: c, book: b, log: log, ready: ready, most: max(most, 1), fd: fd,
-		conns: map[*conn]struct{}{}}
+	s := &Server{loop: l, core: c, book: b, log: log, ready: ready, most: max(o.Conns, 1), budget: o.Bytes,
+		fd: fd, conns: map[*conn]struct{}{}}
 	s.timer, s.again = l.NewTimer(s.tend), l.NewTimer(s.accept)
 	if err := l.Add(fd, unix.EPOLLIN, s); err != nil {
 		return nil, err
@@ -98,7 +112,7 @@
 }
 
 func (s *Server) take(fd int) {
-	c := &conn{server: s, peer: peerOf(fd), since: s.loop.Now()}
+	c := &conn{server: s, peer: peerOf(fd), since: s.loop.Now(), began: s.loop.Now()}
 	stream, err := loop.NewStream(s.loop, fd, unix.EPOLLIN|unix.EPOLLRDHUP, c)
 	if err != nil {
 		s.log.Conn(logs.ClientRefused, c.peer, 0, err)
@@ -108,10 +122,15 @@
 	s.conns[c] = struct{}{}
 }
 
-// makeRoom closes the connection that has stood idle longest: a client opens a new one when it needs one.
+// makeRoom closes the connection that can best be spared: one that has had its last answer, then the one that
+// has stood idle longest. A client opens a new one when it needs one.
 func (s *Server) makeRoom() bool {
 	var idle *conn
 	for c := range s.conns {
+		if c.lingers {
+			idle = c
+			break
+		}
 		if c.quiet() && (idle == nil || c.since < idle.since) {
 			idle = c
 		}
@@ -123,12 +142,32 @@
 	return true
 }
 
-// tend ends requests that do not come whole in time.
+// tend ends what takes too long: guards descriptors and memory against clients that say nothing, send half a
+// request or leave their answer unread. An error or a close is owed to those within 3 s.
 func (s *Server) tend() {
 	now := s.loop.Now()
 	for c := range s.conns {
-		if c.open == nil && !c.quiet() && now-c.since > slowMost {
-			c.close(logs.ClientSlow, nil)
+		age := now - c.since
+		switch {
+		case c.lingers:
+			if age > lingerMost {
+				c.close(logs.ClientDone, nil)
+			}
+		case c.open != nil:
+		case len(c.s.Out) > 0:
+			if age > takeMost {
+				c.close(logs.ClientSlow, nil)
+			}
+		case len(c.s.In) > 0:
+			if now-c.began > wholeMost {
+				c.late = true
+				c.reject(408, errSlow)
+				c.write()
+			}
+		case c.served == 0 && age > wholeMost:
+			c.close(logs.ClientSilent, nil)
+		case age > idleMost:
+			c.close(logs.ClientIdle, nil)
 		}
 	}
 	s.timer.Set(now + tendEvery)
@@ -177,28 +216,40 @@
 	more      bool  // read-ahead requests are about to be parsed
 	cont      bool  // 100 Continue has been sent for the request that is coming
 	malformed error // why it was rejected
+	late      bool  // its request did not come whole in time
+	lingers   bool  // all is said; what still comes is thrown away
+	parser    parser
 	served    int
-	since     float64 // of the last byte or answer
+	thrown    int     // bytes thrown away
+	held      int     // bytes that the server counts for it
+	began     float64 // when the request that is coming began; at first the connect
+	since     float64 // of the last answer, or of the connect
 }
 
 // quiet tells that nothing is under way on the connection.
 func (c *conn) quiet() bool {
-	return c.open == nil && len(c.s.In) == 0 && len(c.s.Out) == 0 && !c.closed
+	return c.open == nil && len(c.s.In) == 0 && len(c.s.Out) == 0 && !c.lingers && !c.closed
 }
 
 // Ready implements loop.Handler.
 func (c *conn) Ready(events uint32) {
+	if c.lingers {
+		c.discard()
+		return
+	}
 	if events&(unix.EPOLLERR|unix.EPOLLHUP) != 0 && events&unix.EPOLLIN == 0 {
 		c.gone(loop.Failure(c.s.FD))
 		return
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0 && !c.ended {
+		if len(c.s.In) == 0 && c.served > 0 {
+			c.began = c.server.loop.Now()
+		}
 		eof, err := c.s.Read(maxIn)
 		if err != nil {
 			c.gone(err)
 			return
 		}
-		c.since = c.server.loop.Now()
 		c.ended = eof
 		if c.parse(); c.closed {
 			return
@@ -236,10 +287,10 @@
 	c.close(code, err)
 }
 
-// parse takes the next request, if none is being answered.
+// parse takes the next request, if none is being answered and the client reads what it is answered.
 func (c *conn) parse() {
-	for c.open == nil && !c.last && !c.closed && len(c.s.In) > 0 {
-		m, size, err := parse(c.s.In)
+	for c.open == nil && !c.last && !c.closed && len(c.s.In) > 0 && len(c.s.Out) < maxOut {
+		m, size, err := c.parser.next(c.s.In)
 		switch {
 		case err != nil:
 			status := 400
@@ -253,7 +304,9 @@
 		case size == 0:
 			if len(c.s.In) >= maxIn {
 				c.reject(413, errTooLarge)
-			} else if m != nil && m.expect && !c.cont {
+			} else if c.server.held > c.server.budget {
+				c.reject(503, errCrowded)
+			} else if m := c.parser.m; m != nil && m.expect && !c.cont {
 				c.cont = true
 				c.s.Out = append(c.s.Out, "HTTP/1.1 100 Continue\r\n\r\n"...)
 			}
@@ -264,6 +317,7 @@
 			return // a rejected request has emptied the buffer: guards against consuming it twice
 		}
 		c.s.Consume(size)
+		c.began = c.server.loop.Now()
 	}
 }
 
@@ -274,20 +328,30 @@
 }
 
 func (c *conn) write() {
-	if c.closed {
+	if c.closed || c.lingers {
 		return
 	}
-	if err := c.s.Flush(); err != nil {
-		c.gone(err)
-		return
+	for again := true; again; {
+		waited := len(c.s.Out) >= maxOut
+		if err := c.s.Flush(); err != nil {
+			c.gone(err)
+			return
+		}
+		// What was read ahead waited for the client to take its answers.
+		if again = waited && len(c.s.Out) == 0 && c.open == nil && !c.more; again {
+			if c.parse(); c.closed {
+				return
+			}
+		}
 	}
+	c.count()
 	if len(c.s.Out) == 0 && c.open == nil && !c.more && (c.last || c.ended) {
-		c.close(logs.ClientDone, nil)
+		c.linger()
 		return
 	}
 	// While a request is open only so much is read ahead: guards memory against endless pipelining.
 	want := uint32(0)
-	if len(c.s.In) < maxIn && !c.ended {
+	if len(c.s.In) < maxIn && len(c.s.Out) < maxOut && !c.ended {
 		want = unix.EPOLLIN | unix.EPOLLRDHUP
 	}
 	if len(c.s.Out) > 0 {
@@ -296,6 +360,44 @@
 	c.s.Want(want)
 }
 
+// count brings the server's count of bytes held up to date.
+func (c *conn) count() {
+	n := 0
+	if !c.closed {
+		n = cap(c.s.In) + cap(c.s.Out)
+	}
+	c.server.held += n - c.held
+	c.held = n
+}
+
+// linger ends our side, and the connection once the client has ended its own. What the client still sends
+// would turn our close into a reset that destroys the answer unread; it is thrown away, up to a bound.
+func (c *conn) linger() {
+	if c.ended {
+		c.close(logs.ClientDone, nil)
+		return
+	}
+	_ = unix.Shutdown(c.s.FD, unix.SHUT_WR)
+	c.lingers, c.since, c.s.In = true, c.server.loop.Now(), nil
+	c.s.Want(unix.EPOLLIN | unix.EPOLLRDHUP)
+	c.discard()
+}
+
+// discard throws away what has come: no more in one wake-up than a few reads, and no more in all than a
+// bound.
+func (c *conn) discard() {
+	for range 4 {
+		n, err := c.s.Discard()
+		if c.thrown += n; errors.Is(err, unix.EAGAIN) && c.thrown <= lingerRead {
+			return
+		}
+		if err != nil || n == 0 || c.thrown > lingerRead {
+			c.close(logs.ClientDone, nil)
+			return
+		}
+	}
+}
+
 // reply writes the answer to the request that was read last.
 func (c *conn) reply(r response) {
 	c.served++
@@ -311,16 +413,11 @@
 	}
 	c.closed = true
 	delete(c.server.conns, c)
-	if c.last && err == nil {
-		// What the client still sends would turn our close into a reset that destroys the answer unread.
-		_ = unix.Shutdown(c.s.FD, unix.SHUT_WR)
-		var b [4096]byte
-		for n := 1; n > 0; {
-			n, _ = unix.Read(c.s.FD, b[:])
-		}
-	}
 	c.s.Close()
-	if c.malformed != nil {
+	c.count()
+	if c.late {
+		code, err = logs.ClientSlow, c.malformed
+	} else if c.malformed != nil {
 		code, err = logs.ClientMalformed, c.malformed
 	}
 	c.server.log.Conn(code, c.peer, c.served, err)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"unicode/utf8"
 
 	"ternstage/balance"
 )
@@ -32,6 +33,10 @@
 	Doc   []byte
 }
 
+// Usable tells whether what a node gave can be a value: text, as it goes to clients in bodies of JSON, where
+// anything else could not stand unchanged. Back ends fail an attempt that brought another.
+func Usable(value []byte) bool { return len(value) > 0 && utf8.Valid(value) }
+
 // Answer is the one final answer of a request.
 type Answer struct {
 	Kind       Kind
@@ -98,6 +103,7 @@
 	Text     []byte
 	Node     uint32
 	Deadline float64 // loop clock: when the wait for it ends
+	Once     bool    // it must not run twice: what may have run of it is not tried again
 	Handle   any     // the back end's own
 
 	part  *part
@@ -206,7 +212,7 @@
 		if p.Shard < 0 || p.Shard >= c.shards || seen[p.Shard] {
 			return fmt.Errorf("%w: shard %d is unknown or asked twice", ErrContract, p.Shard)
 		}
-		if !(p.Weight >= 0) || p.Weight > 1.001 {
+		if !(p.Weight > 0) || p.Weight > 1.001 {
 			return fmt.Errorf("%w: weight of shard %d", ErrContract, p.Shard)
 		}
 		seen[p.Shard] = true
@@ -396,7 +402,7 @@
 		deadline = min(deadline, now+timeout)
 	}
 	a := &Attempt{Request: p.req.Name, Shard: p.Shard, Text: p.req.Text, Node: node, Deadline: deadline,
-		part: p, no: len(p.attempts), sent: now}
+		Once: p.req.unsafe, part: p, no: len(p.attempts), sent: now}
 	p.attempts = append(p.attempts, a)
 	c.out[a] = struct{}{}
 	if c.tries > 0 && a.no >= c.tries || deadline <= now {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	waitMS     = 10_000 // of one watch call; long, as discovery serves calls in turn
-	answerMost = 4000.0 // ms beyond the wait: a call without an answer by then has failed
+	waitMS     = 3000   // of one watch call: silence must show before changes count as told
+	answerMost = 2000.0 // ms beyond the wait: a call without an answer by then has failed
 	dialMost   = 1000.0 // ms
 	maxAnswer  = 64<<10 + 16<<10
 	path       = "/catalog/members"
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -264,6 +264,9 @@
 	default:
 		return balance.Failed, nil
 	}
+	if !core.Usable(value) {
+		return balance.Failed, nil
+	}
 	return balance.OK, value
 }
 
--- a/internal/leafs/pool.go
+++ b/internal/leafs/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"slices"
 
@@ -28,6 +29,12 @@
 	heldMost  = 400.0  // ms that a part may wait unwritten: guards the drain rule against a connection that
 	// takes nothing, as the module's decision to send is then no longer of now
 	maxRead = 2 * maxFrame
+
+	wholeMost = 300.0 // ms from a frame's first byte to its last
+	spread    = 4     // connections to a leaf on which nothing else is out, before calls share one
+	givenMost = 64    // parts given up on a connection that may still be answered
+	freshFor  = 250.0 // ms since a connection was last used, within which it may carry a part that must not
+	// run twice: one that has gone dead unseen would lose it
 )
 
 // Core takes the outcomes.
@@ -104,7 +111,7 @@
 		if addr := p.address(l.node); addr != l.addr {
 			// A new address: connections to the old one take nothing new.
 			for _, c := range l.conns {
-				c.retired = true
+				c.retire(logs.LeafMoved)
 			}
 			l.addr = addr
 		}
@@ -118,7 +125,7 @@
 	p.plan()
 }
 
-// place gives a call to a connection with room, the fullest first so that others can go idle, or opens one.
+// place gives a call to a connection.
 func (p *Pool) place(l *leaf, parts []*core.Attempt) {
 	k := &call{sent: p.loop.Now()}
 	for _, a := range parts {
@@ -127,15 +134,7 @@
 		k.parts = append(k.parts, o)
 	}
 	k.left = len(k.parts)
-	var best *conn
-	for _, c := range l.conns {
-		if !c.retired && len(c.calls) < p.o.Streams && (best == nil || len(c.calls) > len(best.calls)) {
-			best = c
-		}
-	}
-	if best == nil {
-		best = p.dial(l)
-	}
+	best := p.choose(l, slices.ContainsFunc(parts, func(a *core.Attempt) bool { return a.Once }))
 	if best == nil {
 		for _, o := range k.parts {
 			o.over = true
@@ -151,6 +150,31 @@
 	}
 }
 
+// choose is the connection for a call. Calls share one only when there are many: whatever comes spoilt or
+// breaks off takes all with it that is out beside it. Of idle ones it takes the one used last, so that
+// others can go. once tells that the call must not be lost with a connection that has gone dead while
+// nobody looked.
+func (p *Pool) choose(l *leaf, once bool) *conn {
+	var best *conn
+	now, most := p.loop.Now(), max(1, min(spread, p.o.Sockets/max(len(p.leafs), 1)))
+	for _, c := range l.conns {
+		if c.retired != "" || len(c.calls)+len(c.given) >= p.o.Streams ||
+			once && c.up && len(c.calls) == 0 && now-c.heard > freshFor {
+			continue
+		}
+		if best == nil || len(c.calls) < len(best.calls) ||
+			len(c.calls) == len(best.calls) && c.heard > best.heard {
+			best = c
+		}
+	}
+	if best == nil || len(best.calls) > 0 && len(l.conns) < most && p.conns < p.o.Sockets {
+		if c := p.dial(l); c != nil {
+			return c
+		}
+	}
+	return best
+}
+
 // Abandon implements core.Backend.
 func (p *Pool) Abandon(a *core.Attempt) (neverRan bool) {
 	if l := p.leafs[a.Node]; l != nil {
@@ -169,6 +193,18 @@
 		c.done(o)
 		return true
 	}
+	if c.given[o.id] = true; c.heard < k.sent {
+		// Nothing has come since the part went out: the connection may have gone dead unseen, and so may those to
+		// the leaf that were idle all the while. A new one tells whether the leaf can be reached.
+		for _, x := range c.leaf.conns {
+			if x == c || x.up && len(x.calls) == 0 && x.heard < k.sent {
+				x.retire(logs.LeafQuiet)
+			}
+		}
+	}
+	if len(c.given) > givenMost {
+		c.retire(logs.LeafQuiet)
+	}
 	at := len(c.s.Out)
 	c.s.Out = finish(append(begin(c.s.Out, frameAbandon), o.id...), at)
 	c.queued += uint64(len(c.s.Out) - at)
@@ -225,8 +261,10 @@
 			switch {
 			case !c.up && now >= c.dialBy:
 				c.close(logs.LeafDialTimeout, nil)
-			case len(c.calls) == 0 && c.retired:
-				c.close(logs.LeafStuck, nil)
+			case now >= c.cutAt:
+				c.spoilt(nil, fmt.Errorf("%w: it does not come whole", errFrame))
+			case len(c.calls) == 0 && c.retired != "":
+				c.close(c.retired, nil)
 			case len(c.calls) == 0 && now >= c.idleAt:
 				c.close(logs.LeafIdle, nil)
 			case len(c.waiting) > 0 && now >= c.waiting[0].sent+heldMost:
@@ -248,7 +286,10 @@
 			if !c.up {
 				next = min(next, c.dialBy)
 			} else {
-				next = min(next, c.idleAt)
+				next = min(next, c.idleAt, c.cutAt)
+			}
+			if c.retired != "" && len(c.calls) == 0 {
+				next = min(next, p.loop.Now())
 			}
 			if len(c.waiting) > 0 {
 				next = min(next, c.waiting[0].sent+heldMost)
@@ -273,8 +314,8 @@
 		fd, err = loop.Connect(l.addr)
 	}
 	now := p.loop.Now()
-	c := &conn{pool: p, leaf: l, byID: map[string]*out{}, dialBy: now + p.o.DialTimeout, opened: now,
-		idleAt: math.Inf(1)}
+	c := &conn{pool: p, leaf: l, byID: map[string]*out{}, given: map[string]bool{}, opened: now,
+		dialBy: now + p.o.DialTimeout, heard: now, idleAt: math.Inf(1), cutAt: math.Inf(1)}
 	if err == nil {
 		c.s, err = loop.NewStream(p.loop, fd, unix.EPOLLIN|unix.EPOLLOUT|unix.EPOLLRDHUP, c)
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -24,6 +24,7 @@
 	ClientMalformed  Code = "C04" // answered 400
 	ClientIdle       Code = "C05" // idle, and its descriptor was needed
 	ClientSlow       Code = "C06" // a request that did not come whole in time
+	ClientSilent     Code = "C07" // it never said anything
 	ClientRefused    Code = "C08" // no descriptor for it
 	LeafRefused      Code = "L01"
 	LeafDialTimeout  Code = "L02"
@@ -33,6 +34,8 @@
 	LeafBadFrame     Code = "L06"
 	LeafStuck        Code = "L07"
 	LeafRoom         Code = "L08"
+	LeafMoved        Code = "L10" // the list names another address
+	LeafQuiet        Code = "L09" // a part was given up on it and nothing had come since
 	DiscoveryEnded   Code = "D01"
 	DiscoveryReset   Code = "D02"
 	DiscoveryRefused Code = "D03"
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -48,6 +48,12 @@
 	return false, nil
 }
 
+// Discard reads once and drops what came.
+func (s *Stream) Discard() (int, error) {
+	n, err := unix.Read(s.FD, scratch[:])
+	return max(n, 0), err
+}
+
 // Consume drops parsed bytes.
 func (s *Stream) Consume(n int) {
 	if s.In = append(s.In[:0], s.In[n:]...); len(s.In) == 0 && cap(s.In) > 4*readSize {
--- a/internal/reload/reload.go
+++ b/internal/reload/reload.go
@@ -1,6 +1,6 @@
-// Package reload takes a new configuration while the broker serves. It owns what SIGHUP means: the file is read
-// again and validated whole, what can change without a restart is moved to its new value, and a file that cannot
-// be used leaves everything as it was.
+// Package reload takes a new configuration while the broker serves. It owns what SIGHUP means: the file is
+// read again and validated whole, what can change without a restart is moved to its new value, and a file
+// that cannot be used leaves everything as it was.
 package reload
 
 import (
@@ -32,8 +32,8 @@
 	return &Reloader{loop: l, log: log, discovery: d, current: c}
 }
 
-// Serve reads the file again for each signal, until the channel is closed. It runs beside the loop, so that no
-// request waits for the file.
+// Serve reads the file again for each signal, until the channel is closed. It runs beside the loop, so that
+// no request waits for the file.
 func (r *Reloader) Serve(signals <-chan os.Signal) {
 	for range signals {
 		c, err := config.Reload()
