A connection that breaks blames nobody, and late safe parts move to another replica

A trace of every connection that ended with parts out: nearly all were reset 0.1 to 1.5 ms after the part was written, on connections that had been idle for 93 ms or more, with 1 to 3 other connections to the same leaf up. 319 such resets in 25 s. At fault: balance.go learn() takes every Reset for a lost process: it is shut for three parts' work, and once it serves again it counts as just started and cold for 18 s. idleEnds() was to find dropped idle connections but measures idleness by replica, not by connection, so it never saw one. pool.go choose() used connections idle for any time. Ruled out: the leafs themselves (none restarted), memory, CPU (0.14 of 0.25).

Module: a late part that may be repeated is cancelled, and tried at another fit replica 15 ms later, as no second copy may be out; further tries at suspects are 0.1 aims apart, so that four tries are not gone in 3 ms while the sound replica is cold; parts that must not run twice avoid replicas above twice the fleet's level. discovery forgets ids that are gone.

--- a/balance/api.go
+++ b/balance/api.go
@@ -180,6 +180,7 @@
 	Outcome Outcome
 	Latency float64
 	Final   bool // the part is over: answered, abandoned, or its query has ended
+	Alone   bool // it was the connection that failed: the replica is known to stand
 }
 
 // Actions is what the co-ordinator does for the module.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,11 +62,14 @@
 	failSuspect = 0.5   // share of failures from which a replica is a suspect
 	failUnsafe  = 0.1   // the same for parts that must not run twice
 	slowSuspect = 3.5   // x the fleet's level from which a replica is a suspect
+	slowUnsafe  = 2.0   // the same for parts that must not run twice
 	slowWay     = 2.0   // x the best zone's level from which a zone's replicas are suspects
 	crossTie    = 0.5   // levels: what another zone weighs between replicas with equally few calls out
 	tieNoise    = 0.15  // levels: random part of a tie, so that co-ordinators do not move in step
 	hedgeAfter  = 2.5   // x usual for its cost: a part out longer is late
 	hedgeAim    = 0.3   // x aim: before that a late part needs no copy, nor a failed one its last try
+	cancelRest  = 15.0  // ms from a cancel to the next try: it must be known at the replica before that is out
+	trySpace    = 0.1   // x aim: a further try at a suspect is so long after the last
 	hedgeFree   = 4.0   // second copies in hedgeWindow without any traffic: our own restraint
 	hedgeShare  = 0.05  // the same for each query or part taken in it
 	hedgeWindow = 2000  // ms
@@ -231,7 +234,7 @@
 	}
 	delete(b.out, key)
 	p, r := a.part, a.r
-	a.ended, a.outcome = true, res.Outcome
+	a.ended, a.end, a.outcome = true, now, res.Outcome
 	defer func() { r.load -= p.cost; b.load -= p.cost }()
 	r.out = slices.DeleteFunc(r.out, func(x *attempt) bool { return x == a })
 	if a.call.left--; a.call.left == 0 {
@@ -475,7 +478,8 @@
 		if r.Zone != b.s.Zone {
 			key[2] += crossTie
 		}
-		if !b.fit(now, r) || p.q.class.Effect == Unsafe && b.fade(r.fail, now) > failUnsafe {
+		if !b.fit(now, r) || p.q.class.Effect == Unsafe &&
+			(b.fade(r.fail, now) > failUnsafe || level > slowUnsafe*b.fleet) {
 			key[0], key[1] = 1, 0 // an unsafe part is lost by one failure: others try a doubtful replica
 		}
 		if tried != nil && tried.tried(r) {
@@ -616,6 +620,9 @@
 		r.level = stamp{now, max(0, was+levelGain*(x-1-was))}
 	}
 	quick := now-a.sent < quickReset*b.work(1)
+	if res.Alone {
+		return // guards sound replicas against the faults of the way to them
+	}
 	if b.idleEnds(now, a, res.Outcome, res.Outcome == Reset && quick) {
 		return
 	}
@@ -769,7 +776,7 @@
 				b.learnWay(now, a.r.Zone, (now-a.sent)/b.expect(a))
 			}
 			due := late && now-q.arrived > hedgeAim*q.class.Aim
-			a.copied = due && (b.standIn(now, q) || b.again(now, p, true))
+			a.copied = due && (b.standIn(now, q) || b.again(now, p, true) || b.move(now, p, a))
 		}
 	}
 }
@@ -810,6 +817,9 @@
 			b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow)) {
 		return false
 	}
+	if n > 0 && p.attempts[n-1].outcome == Cancelled && now < p.attempts[n-1].end+cancelRest {
+		return false
+	}
 	live := func(x *part) bool { return x.live > 0 }
 	if b.lossOf(p.q.Key).replicas > 0 && slices.ContainsFunc(p.q.parts, live) {
 		return false // it may be harmful: one part at a time, until one is answered
@@ -818,6 +828,9 @@
 	if r == nil || !free || now < r.shutUntil || len(r.out) > 0 && b.levelOf(now, r) > b.hold {
 		return false
 	}
+	if !second && !b.fit(now, r) && now < p.q.arrived+float64(n)*trySpace*p.q.class.Aim {
+		return false // only suspects are left: a sound one that is cold or full may have room soon
+	}
 	if second && (!b.fit(now, r) || p.tried(r)) || !b.send(now, p, r) {
 		return false
 	} else if second {
@@ -826,6 +839,24 @@
 	return true
 }
 
+// move gives up a late attempt at a part that may be repeated, where no second copy may be out: once its
+// end is told, the next sweep tries another replica. Guards safe parts against replicas that hang or crawl;
+// throws away what was about to come.
+func (b *Balancer) move(now float64, p *part, a *attempt) bool {
+	if !b.s.Cancel || b.s.SecondCopies || p.q.class.Effect != Safe || now < b.jamAt+jamFor ||
+		b.s.MaxAttempts > 0 && len(p.attempts) >= b.s.MaxAttempts ||
+		b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow) {
+		return false
+	}
+	r, free := b.pick(now, p.Shard, p.cost, p, p)
+	if r == nil || !free || !b.fit(now, r) || p.tried(r) || 2*b.levelOf(now, r) > b.levelOf(now, a.r) {
+		return false
+	}
+	b.copies.add(now, hedgeWindow)
+	b.act.Cancel(p.ID, a.no)
+	return true
+}
+
 // mayRepeat is the rule of effects: what a further attempt at a part needs.
 func (b *Balancer) mayRepeat(now float64, p *part) bool {
 	for _, a := range p.attempts {
--- a/balance/state.go
+++ b/balance/state.go
@@ -55,6 +55,7 @@
 	sent    float64
 	load    float64 // our cost out at the replica with it
 	ended   bool
+	end     float64 // when that was told
 	passed  bool    // a part sent later has come back: it is stuck by itself, not with its replica
 	idle    float64 // ms for which the connection it went out on had not been used; 0 if new or in use
 	late    bool    // it has been late
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -105,6 +105,7 @@
 	Deadline float64 // loop clock: when the wait for it ends
 	Once     bool    // it must not run twice: what may have run of it is not tried again
 	Handle   any     // the back end's own
+	Alone    bool    // set by the back end with how it ended: only its connection broke, the node stands
 
 	part  *part
 	no    int
@@ -308,7 +309,8 @@
 		delete(c.out, a)
 		_, held := c.requests[a.part.req.id]
 		c.module.AttemptEnded(now, balance.Result{Part: a.part.id, Attempt: a.no, Replica: a.Node,
-			Outcome: e.outcome, Latency: now - a.sent, Final: e.outcome == balance.OK || !held})
+			Outcome: e.outcome, Latency: now - a.sent, Alone: a.Alone,
+			Final: e.outcome == balance.OK || !held})
 	}
 	for _, id := range gone {
 		if r := c.requests[id]; r != nil {
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -116,10 +116,12 @@
 		}
 		es = append(es, e)
 	}
-	// A number is kept for ever, an address while the member is listed: guards an id that comes back.
+	// Members that are gone are forgotten, as new ones come under new ids all day. One that comes back has its
+	// old number again, unless two ids clash.
 	for id, x := range n.byID {
 		if !n.listed[id] {
-			n.address[x] = ""
+			delete(n.byID, id)
+			delete(n.address, x)
 		}
 	}
 	return es
--- a/internal/leafs/conn.go
+++ b/internal/leafs/conn.go
@@ -122,6 +122,9 @@
 		return nil, fmt.Errorf("%w: part %.100q is not out", errFrame, a.id)
 	}
 	o.over = true
+	if k := o.call; k.idle > 0 {
+		c.pool.risk.note(c.heard, k.idle, false)
+	}
 	c.done(o)
 	c.served++
 	switch a.end {
@@ -230,6 +233,24 @@
 	}
 }
 
+// alone tells that only this connection broke and the leaf stands: another to it does, or it broke as soon
+// as it was used again, where the end of a process would have shown while it was idle. The latter also
+// tells for how long connections may be idle. Guards leafs against being held for lost, and for cold once
+// they serve again.
+func (c *conn) alone(code logs.Code) bool {
+	if code != logs.LeafReset && code != logs.LeafEnded && code != logs.LeafRefused {
+		return false
+	}
+	now := c.pool.loop.Now()
+	if len(c.calls) == 1 && c.calls[0].end > 0 {
+		if k := c.calls[0]; now-k.sent < atOnce && k.idle > atOnce {
+			c.pool.risk.note(now, k.idle, true)
+			return true
+		}
+	}
+	return slices.ContainsFunc(c.leaf.conns, func(x *conn) bool { return x != c && x.up && x.s.Stands() })
+}
+
 // close ends the connection and every part out on it: one whose frame was not wholly written never ran, any
 // other may have.
 func (c *conn) close(code logs.Code, err error) {
@@ -239,6 +260,7 @@
 	c.closed = true
 	c.s.Close()
 	c.pool.conns--
+	alone := c.alone(code)
 	broken := balance.Reset
 	if code == logs.LeafBadFrame || code == logs.LeafQuiet {
 		broken = balance.Cancelled // it is we who end it
@@ -252,7 +274,7 @@
 		}
 		for _, o := range k.parts {
 			if !o.over {
-				o.over = true
+				o.over, o.a.Alone = true, alone
 				c.pool.core.Later(o.a, outcome)
 			}
 		}
--- a/internal/leafs/pool.go
+++ b/internal/leafs/pool.go
@@ -33,6 +33,7 @@
 	wholeMost = 300.0 // ms from a frame's first byte to its last
 	spread    = 4     // connections to a leaf on which nothing else is out, before calls share one
 	givenMost = 64    // parts given up on a connection that may still be answered
+	atOnce    = 5.0   // ms after which a connection that breaks did so under the part, not before it
 	freshFor  = 250.0 // ms since a connection was last used, within which it may carry a part that must not
 	// run twice: one that has gone dead unseen would lose it
 )
@@ -53,6 +54,7 @@
 	leafs   map[uint32]*leaf
 	dirty   []*leaf // sent to in this turn
 	conns   int
+	risk    idleRisk
 	timer   *loop.Timer
 }
 
@@ -77,7 +79,8 @@
 	parts []*out
 	left  int // parts out
 	sent  float64
-	end   uint64 // the frame's last byte, counted on its connection; 0 until it is encoded
+	end   uint64  // the frame's last byte, counted on its connection; 0 until it is encoded
+	idle  float64 // ms that its connection had been idle
 }
 
 // out is a part that is out; it is the attempt's handle.
@@ -142,7 +145,9 @@
 		}
 		return
 	}
-	k.conn = best
+	if k.conn = best; best.up && len(best.calls) == 0 {
+		k.idle = p.loop.Now() - best.heard
+	}
 	best.calls, best.waiting = append(best.calls, k), append(best.waiting, k)
 	best.idleAt = math.Inf(1)
 	for _, o := range k.parts {
@@ -158,8 +163,15 @@
 	var best *conn
 	now, most := p.loop.Now(), max(1, min(spread, p.o.Sockets/max(len(p.leafs), 1)))
 	for _, c := range l.conns {
+		unused := 0.0
+		if c.up && len(c.calls) == 0 {
+			unused = now - c.heard
+		}
+		if !p.risk.fits(now, unused, riskMost) {
+			c.retire(logs.LeafIdle)
+		}
 		if c.retired != "" || len(c.calls)+len(c.given) >= p.o.Streams ||
-			once && c.up && len(c.calls) == 0 && now-c.heard > freshFor {
+			once && (unused > freshFor || !p.risk.fits(now, unused, riskOnce)) {
 			continue
 		}
 		if best == nil || len(c.calls) < len(best.calls) ||
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -48,6 +48,13 @@
 	return false, nil
 }
 
+// Stands tells that the peer has neither ended nor reset the connection, as far as has come.
+func (s *Stream) Stands() bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(s.FD, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0 || errors.Is(err, unix.EAGAIN)
+}
+
 // Discard reads once and drops what came.
 func (s *Stream) Discard() (int, error) {
 	n, err := unix.Read(s.FD, scratch[:])
--- a/test/standin_test.go
+++ b/test/standin_test.go
@@ -124,6 +124,17 @@
 	return out
 }
 
+// gaveUp notes that the broker waits no more for what has no answer yet of a part.
+func (ns *nodes) gaveUp(id string) {
+	ns.mu.Lock()
+	defer ns.mu.Unlock()
+	for _, s := range ns.sends {
+		if s.id == id && s.end.IsZero() {
+			s.end = time.Now()
+		}
+	}
+}
+
 // frames are the frames that went both ways.
 func (ns *nodes) frames() [][]byte {
 	ns.mu.Lock()
@@ -317,6 +328,9 @@
 			return
 		}
 		ns.note(body)
+		if body[0] == 'X' {
+			ns.gaveUp(string(body[1:]))
+		}
 		for rest := body[1:]; body[0] == 'Q' && len(rest) > 0; {
 			line, more, _ := bytes.Cut(rest, []byte{'\n'})
 			f := strings.Fields(string(line))
@@ -390,6 +404,7 @@
 	g, d := f.ns.got(sent{node: f.id, id: q.ID, shard: q.Shard})
 	if d == swallow {
 		<-s.Context().Done()
+		f.ns.over(g)
 		return s.Context().Err()
 	}
 	if d == serveOnceLet {
