--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -121,7 +121,7 @@
 	end     string
 	docs    int
 	partial bool
-	sends   int // -1: as many as time and chance allow
+	sends   int          // -1: as many as time and chance allow
 	act     func(r *run) // in place of one query
 }{
 	{name: "quote is served whole", class: "quote", shards: []int{0, 1, 2}, end: "served", docs: 3, sends: 3},
