Remember failures of parts that must not run twice by themselves: bind avoids half a fleet

A trace of each outcome with the module's view of the shard's replicas: 123 of 131 errors are bind's, at once, from five of ten replicas, which serve quote and compare well all the while. Each stood at a failure share of 0.00 when it was chosen. At fault: learn() keeps one failure share for all classes, so two successes of others clear it (0.6, 0.24, 0.1) within 20 ms, and pick()'s guard for parts that must not run twice never saw it. Ruled out: first parts on new connections (quote and compare open more and see no errors), the shard, the part's size.

Now a second share is noted for such parts: raised by any failure, cleared by their own successes alone and by time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,6 +62,7 @@
 	failSuspect = 0.5   // share of failures from which a replica is a suspect
 	failUnsafe  = 0.1   // the same for parts that must not run twice
 	slowSuspect = 3.5   // x the fleet's level from which a replica is a suspect
+	doubtWeight = 8.0   // levels: what a doubt of 1 weighs between replicas for such parts
 	slowUnsafe  = 2.0   // the same for parts that must not run twice
 	slowWay     = 2.0   // x the best zone's level from which a zone's replicas are suspects
 	crossTie    = 0.5   // levels: what another zone weighs between replicas with equally few calls out
@@ -142,7 +143,7 @@
 			b.replicas[e.Replica], b.order = r, append(b.order, r)
 		} else if e.ReadyAt > r.ReadyAt {
 			// Restarted: what was learnt of the old process is void, and the new one is cold.
-			r.level, r.fail, r.lost, r.warmFrom = stamp{}, stamp{}, false, e.ReadyAt
+			r.level, r.fail, r.once, r.lost, r.warmFrom = stamp{}, stamp{}, stamp{}, false, e.ReadyAt
 		}
 		if r.State = e.State; e.State != Gone {
 			r.Cell, r.Zone, r.ReadyAt = e.Cell, e.Zone, max(e.ReadyAt, r.ReadyAt)
@@ -478,9 +479,11 @@
 		if r.Zone != b.s.Zone {
 			key[2] += crossTie
 		}
-		if !b.fit(now, r) || p.q.class.Effect == Unsafe &&
-			(b.fade(r.fail, now) > failUnsafe || level > slowUnsafe*b.fleet) {
-			key[0], key[1] = 1, 0 // an unsafe part is lost by one failure: others try a doubtful replica
+		if doubt := decay(r.once, now, fadeMost); !b.fit(now, r) {
+			key[0], key[1] = 1, 0
+		} else if p.q.class.Effect == Unsafe && (doubt > failUnsafe || level > slowUnsafe*b.fleet) {
+			// An unsafe part is lost by one failure: others try a doubtful replica. Slow is better than failing.
+			key[0], key[1], key[2] = 0.5, 0, key[2]+doubtWeight*doubt
 		}
 		if tried != nil && tried.tried(r) {
 			key[0] += 2
@@ -691,6 +694,15 @@
 		}
 	}
 	r.fail = stamp{now, b.fade(r.fail, now)*(1-failGain) + failGain*bad}
+	b.doubt(now, r, a.part.q.class, bad)
+}
+
+// doubt notes what an outcome says of a replica for parts that must not run twice. Successes of other
+// classes say nothing: a release may break one class alone.
+func (b *Balancer) doubt(now float64, r *replica, c *Class, bad float64) {
+	if bad > 0 || c.Effect == Unsafe {
+		r.once = stamp{now, decay(r.once, now, fadeMost)*(1-failGain) + failGain*bad}
+	}
 }
 
 // cut lowers the room of the fleet, once for what was sent since the last time.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -647,6 +647,59 @@
 	}
 }
 
+// What a replica does well for other classes does not clear it for parts that are lost by one failure.
+func TestReplicaThatFailsOneClassAlone(t *testing.T) {
+	g := newRig(t, settings())
+	g.fleet(ListFull)
+	g.warm()
+	var failed, others int
+	for range 100 {
+		g.query(0, 0)
+		g.query(0, 0)
+		g.query(2, 0)
+		g.turn()
+		g.pass(100, func(a *rigSend) {
+			if a.replica == 1 && a.part.q.q.Class == 2 {
+				failed++
+				g.end(a, Failed)
+			} else if g.now >= a.at+40 {
+				if a.replica == 1 {
+					others++
+				}
+				g.end(a, OK)
+			}
+		})
+	}
+	if failed > 3 || others < 20 {
+		t.Fatalf("the replica failed %d parts of the class and served %d of others", failed, others)
+	}
+}
+
+// A part that hangs where no second copy may be out is given up, and tried elsewhere a while after that.
+func TestLateSafePartMoves(t *testing.T) {
+	s := settings()
+	s.SecondCopies = false
+	g := newRig(t, s)
+	g.fleet(ListFull)
+	g.warm()
+	var hung *rigSend
+	safe, unsafe := g.query(0, 0), g.query(2, 3)
+	g.turn()
+	g.pass(900, func(a *rigSend) {
+		if hung == nil {
+			hung = a
+		}
+		if a != hung && a.part.q != unsafe {
+			g.after(40)(a)
+		}
+	})
+	g.mustEnd(safe, "answer")
+	sends := safe.parts[0].sends
+	if len(sends) != 2 || !sends[0].cancel || sends[1].at < sends[0].at+15 || len(unsafe.parts[0].sends) != 1 {
+		t.Fatalf("%d sends of the safe part, %d of the other", len(sends), len(unsafe.parts[0].sends))
+	}
+}
+
 func TestStalledReplicaIsHedgedButSharedSlownessIsNot(t *testing.T) {
 	g := newRig(t, settings())
 	g.fleet(ListFull)
--- a/balance/state.go
+++ b/balance/state.go
@@ -107,6 +107,7 @@
 	informed    float64 // when the list first called it draining or gone
 	warmFrom    float64 // start of its cold ramp
 	level, fail stamp   // latency as a multiple of usual, above 1; share of failures: both fade
+	once        stamp   // the same for parts that must not run twice: only their own success clears it
 	lost        bool    // refused or lost a connection and has not served since
 	calls       int     // our calls out
 	load        float64 // cost of our parts out
