After SIGTERM serve on until what is taken could not be answered before SIGKILL

At fault: cmd/ternstage stopper: Drain() made each answer after SIGTERM the last of its connection, and idle ones were closed after 450 ms. Ruled out: requests lost or refused by the module in that window (its count of refusals does not move), the reload.

Now /_health says no at once, but connections and the listener stay until the longest deadline of a class has passed since SIGTERM (3 s at most, 0.65 s at least); what is taken meanwhile must be answered 150 ms before the earliest SIGKILL. A connection is then closed with its next answer, as before. TestServesOn fails without the change.

--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -30,8 +30,10 @@
 	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
 	leafShare   = 4      // one in so many of the others is for leafs
 	clientBytes = 6      // one in so many bytes of the memory is for what clients send and are sent
-	takeOn      = 450.0  // ms after SIGTERM in which clients still come: connections are kept open for them
-	listenOn    = 650.0  // ms after SIGTERM until the listener closes
+	listenOn    = 650.0  // ms after SIGTERM in which new connections still come
+	killMost    = 3000.0 // ms: a longer deadline of a class does not put off SIGKILL, which comes no sooner than
+	killSpare   = 700.0  // so long after the longest deadline
+	answerSpare = 150.0  // ms before SIGKILL by which all is answered
 	exitBy      = 60_000 // ms after SIGTERM at the latest
 )
 
@@ -100,7 +102,7 @@
 	}
 	l.OnTurn(c.Turn)
 
-	stop := &stopper{loop: l, core: c, server: server}
+	stop := &stopper{loop: l, core: c, server: server, longest: min(cfg.Book.Longest(), killMost)}
 	if fc.Enabled {
 		if stop.front, err = flight.Listen(fc, l, c, cfg.Book, log); err != nil {
 			return err
@@ -143,22 +145,25 @@
 // WakeAt implements core.Clock.
 func (w *waker) WakeAt(at float64) { w.timer.Sooner(at) }
 
-// stopper ends the program after SIGTERM: it serves on while clients still come, answers all that is taken
-// and exits.
+// stopper ends the program after SIGTERM. Clients use the connections they have for as long as these stay
+// open, and who takes over may not be up yet: the broker serves on as long as what it takes can be answered
+// before SIGKILL, then closes what is idle, answers all that is taken and exits.
 type stopper struct {
-	loop   *loop.Loop
-	core   *core.Core
-	server *clients.Server
-	front  *flight.Front // nil where Flight is off
-	timer  *loop.Timer
-	began  float64
-	ending bool // the Flight front is
+	loop    *loop.Loop
+	core    *core.Core
+	server  *clients.Server
+	front   *flight.Front // nil where Flight is off
+	timer   *loop.Timer
+	longest float64 // ms: the longest deadline, as it puts SIGKILL off
+	began   float64
+	ending  bool // the Flight front is
 }
 
 func (s *stopper) begin() {
 	if s.began == 0 {
 		s.began = s.loop.Now()
 		s.server.Drain()
+		s.core.AnswerBy(s.began + s.longest + killSpare - answerSpare)
 		s.step()
 	}
 }
@@ -166,10 +171,7 @@
 func (s *stopper) step() {
 	const every = 10.0
 	past := s.loop.Now() - s.began
-	if past >= takeOn {
-		s.server.EndIdle()
-	}
-	if past >= listenOn {
+	if past >= max(s.longest, listenOn) || past >= listenOn && s.server.Open() == 0 {
 		s.server.StopListening()
 		if s.front != nil && !s.ending {
 			s.ending = true
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -48,7 +48,8 @@
 	conns    map[*conn]struct{}
 	timer    *loop.Timer // looks after slow clients
 	again    *loop.Timer // accepts again
-	draining bool
+	draining bool        // health says no
+	ending   bool        // every answer is the last of its connection
 	onIdle   func()
 }
 
@@ -173,23 +174,24 @@
 	s.timer.Set(now + tendEvery)
 }
 
-// Drain makes every answer from now on the last of its connection.
+// Drain tells who asks that the program no longer serves; those who have connections are served on.
 func (s *Server) Drain() { s.draining = true }
 
-// StopListening takes what the kernel has accepted for us and closes the listener and idle connections.
+// StopListening takes what the kernel has accepted for us, closes the listener and idle connections, and
+// makes every answer from now on the last of its connection.
 func (s *Server) StopListening() {
 	if s.fd < 0 {
 		return
 	}
 	s.accept()
 	s.loop.Close(s.fd)
-	s.fd = -1
+	s.fd, s.ending = -1, true
 	s.again.Stop()
-	s.EndIdle()
+	s.endIdle()
 }
 
-// EndIdle closes connections between requests, after a last look at what has come on them.
-func (s *Server) EndIdle() {
+// endIdle closes connections between requests, after a last look at what has come on them.
+func (s *Server) endIdle() {
 	for c := range s.conns {
 		if c.quiet() {
 			c.Ready(unix.EPOLLIN)
@@ -402,7 +404,7 @@
 func (c *conn) reply(r response) {
 	c.served++
 	c.since = c.server.loop.Now()
-	c.last = c.last || r.close || c.server.draining
+	c.last = c.last || r.close || c.server.ending
 	r.close = c.last
 	c.s.Out = r.append(c.s.Out)
 }
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -62,6 +62,14 @@
 	return b
 }
 
+// Longest is the longest time in ms that a class leaves for an answer.
+func (b *Book) Longest() (ms float64) {
+	for _, c := range b.Classes {
+		ms = max(ms, c.DeadlineMS)
+	}
+	return ms
+}
+
 type body struct {
 	Shards []struct {
 		Shard  *int     `json:"shard"`
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -172,6 +172,7 @@
 	ending   []result // reported, and not yet told to the module
 	gone     []uint64 // requests whose clients left
 	open     int      // queries and parts held
+	answerBy float64  // by then all is answered
 	timeout  float64  // no attempt out ends before
 	wakeAt   float64
 	taken    uint64
@@ -190,7 +191,7 @@
 	c := &Core{classes: s.Classes, shards: s.Shards, tries: s.MaxAttempts, maxOpen: o.MaxOpen,
 		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{},
 		parts: map[uint64]*part{}, names: map[string]bool{},
-		out: map[*Attempt]struct{}{}, timeout: math.Inf(1), wakeAt: math.Inf(1)}
+		out: map[*Attempt]struct{}{}, answerBy: math.Inf(1), timeout: math.Inf(1), wakeAt: math.Inf(1)}
 	m, err := balance.New(s, seed, c)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
@@ -202,6 +203,9 @@
 // Attach names the back end and the list.
 func (c *Core) Attach(back Backend, list List) { c.back, c.list = back, list }
 
+// AnswerBy bounds the time of what is taken from now on: the program ends then.
+func (c *Core) AnswerBy(at float64) { c.answerBy = at }
+
 // ErrContract is wrapped by what Take says of a request that breaks its contract.
 var ErrContract = errors.New("the request breaks its contract")
 
@@ -228,6 +232,7 @@
 		return fmt.Errorf("%w: request id %q is in use", ErrContract, r.Name)
 	}
 	now := c.clock.Now()
+	r.Deadline = min(r.Deadline, c.answerBy)
 	c.taken++
 	// The stated limit of queries and parts held: beyond it the module does not see the query.
 	if c.maxOpen > 0 && c.open+1+len(r.Parts) > c.maxOpen {
--- a/test/clients_test.go
+++ b/test/clients_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,3 +140,34 @@
 		got = append(got, a.StatusCode)
 	}
 }
+
+// TestServesOn: after SIGTERM clients are served on the connections they have, and on new ones, for as long as what is
+// taken can be answered before the platform kills. Guards those whose next broker is not up yet.
+func TestServesOn(t *testing.T) {
+	s := settings()
+	for _, c := range s["categories"].([]any) {
+		c.(map[string]any)["deadline_ms"] = 2500
+	}
+	_, p := site(t, nil, options{settings: s})
+	conn := dial(t, p)
+	r := bufio.NewReader(conn)
+	ask := func(id string) {
+		_, err := io.WriteString(conn, sized(id, good))
+		require.NoError(t, err)
+		a, err := http.ReadResponse(r, nil)
+		require.NoError(t, err, id)
+		_, _ = io.Copy(io.Discard, a.Body)
+		require.Equal(t, 200, a.StatusCode)
+		require.False(t, a.Close)
+	}
+	ask("before")
+	at := time.Now()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return p.health() == 503 }, patience, time.Millisecond)
+	for i := 0; time.Since(at) < 1500*time.Millisecond; i++ {
+		ask(fmt.Sprint("after", i))
+	}
+	_, _ = io.Copy(io.Discard, r) // until the close
+	require.NoError(t, <-p.done)
+	assert.Less(t, time.Since(at), 3200*time.Millisecond, "the platform kills then")
+}
