Limit what returns to a hung replica, and weigh doubt more for parts that must not run twice

A trace of the module's view every 0.3 s shows five of ten replicas out of service at once (levels of 15 to 120 times the usual, no answers), which leaves cells 2 to 6 with one sound holder each; it is asked for more than it can do, and quotes are refused at the door. Each hung replica gets 5 to 9 parts in one moment whenever its level has faded, since its room stays at 4 to 12. At fault: learn() cuts a replica's room on slow answers alone, not on parts given up.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,7 +62,7 @@
 	failSuspect = 0.5   // share of failures from which a replica is a suspect
 	failUnsafe  = 0.1   // the same for parts that must not run twice
 	slowSuspect = 3.5   // x the fleet's level from which a replica is a suspect
-	doubtWeight = 8.0   // levels: what a doubt of 1 weighs between replicas for such parts
+	doubtWeight = 30.0  // levels: what a doubt of 1 weighs between replicas for such parts
 	slowUnsafe  = 2.0   // the same for parts that must not run twice
 	slowWay     = 2.0   // x the best zone's level from which a zone's replicas are suspects
 	crossTie    = 0.5   // levels: what another zone weighs between replicas with equally few calls out
@@ -677,6 +677,9 @@
 	case TimedOut, Cancelled, Moot:
 		x := (now - a.sent) / b.expect(a)
 		observe(max(x, b.levelOf(now, r)))
+		if x > b.hold && r.cutAt < a.sent {
+			r.room, r.cutAt = 1, now // guards against a crowd at a hung replica each time its bad level has faded
+		}
 		if x > b.wayOf(now, r.Zone) {
 			b.learnWay(now, r.Zone, x)
 		}
