Move parts off replicas that hang in a jam too; parse on when late answers have been taken

At fault: move() took the copies' guard, no move within 1 s of a jam.

Reading the clients' side again: write() parsed on only if 64 KiB of answers had waited; with fewer left after a partial write, what had been read ahead was forgotten until the client sent more.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,7 +7,7 @@
 // it is at its usual latency (release), each call to the replica with fewest of our own calls out (pick).
 // Every attempt passes send, where the rules are kept. AttemptEnded learns from the outcome (learn) and
 // answers the query once it is whole (settle). EndTurn, every few ms, moves on what waits (tidy), tries late
-// parts again (sweep) and ends what is out of time (expire). finish ends a query, once.
+// parts again or elsewhere (sweep, move) and ends what is out of time (expire). finish ends a query, once.
 
 import (
 	"cmp"
@@ -74,6 +74,7 @@
 	hedgeFree   = 4.0   // second copies in hedgeWindow without any traffic: our own restraint
 	hedgeShare  = 0.05  // the same for each query or part taken in it
 	hedgeWindow = 2000  // ms
+	hungLevel   = 10.0  // x the fleet's level: more than any slowness seen, so nothing will come
 	jamFor      = 1000  // ms after a refusal or a full replica in which no second copy is made
 	shedAt      = 0.06  // x aim: a part held so long makes the module refuse what is worth least
 	shedSpan    = 0.20  // x aim: so much more for what is worth most
@@ -854,17 +855,19 @@
 	return true
 }
 
-// move gives up a late attempt at a part that may be repeated, where no second copy may be out: once its
-// end is told, the next sweep tries another replica. Guards safe parts against replicas that hang or crawl;
-// throws away what was about to come.
+// move gives up a late attempt at a part that may be repeated, where no second copy may be out: once its end
+// is told, the next sweep tries another replica. Guards safe parts against replicas that hang or crawl;
+// throws away what was about to come. In a jam only what hangs is left.
 func (b *Balancer) move(now float64, p *part, a *attempt) bool {
-	if !b.s.Cancel || b.s.SecondCopies || p.q.class.Effect != Safe || now < b.jamAt+jamFor ||
+	here := b.levelOf(now, a.r)
+	if !b.s.Cancel || b.s.SecondCopies || p.q.class.Effect != Safe ||
+		now < b.jamAt+jamFor && here < hungLevel*b.fleet ||
 		b.s.MaxAttempts > 0 && len(p.attempts) >= b.s.MaxAttempts ||
 		b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow) {
 		return false
 	}
 	r, free := b.pick(now, p.Shard, p.cost, p, p)
-	if r == nil || !free || !b.fit(now, r) || p.tried(r) || 2*b.levelOf(now, r) > b.levelOf(now, a.r) {
+	if r == nil || !free || !b.fit(now, r) || p.tried(r) || 2*b.levelOf(now, r) > here {
 		return false
 	}
 	b.copies.add(now, hedgeWindow)
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -27,6 +27,7 @@
 	idleMost   = 5000.0 // ms between requests; the client opens a new connection when it needs one
 	takeMost   = 2000.0 // ms that a client may leave its answer unread
 	lingerMost = 500.0  // ms in which what a client still sends is thrown away behind our last answer
+	crowdRest  = 1000.0 // ms after which who found no memory may come again
 	lingerRead = 256 << 10
 	halfClose  = 20.0 // ms after a request in which an end of the client's side is a half-close
 	acceptRest = 50.0 // ms without accepting after EMFILE: guards against a spin
@@ -326,7 +327,11 @@
 // reject answers what cannot be read on from, and closes.
 func (c *conn) reject(status int, err error) {
 	c.s.In, c.malformed = nil, err
-	c.reply(response{status: status, body: errorBody(err), close: true})
+	r := response{status: status, body: errorBody(err), close: true}
+	if status == 503 {
+		r.retryAfter = crowdRest
+	}
+	c.reply(r)
 }
 
 func (c *conn) write() {
@@ -334,16 +339,17 @@
 		return
 	}
 	for again := true; again; {
-		waited := len(c.s.Out) >= maxOut
 		if err := c.s.Flush(); err != nil {
 			c.gone(err)
 			return
 		}
-		// What was read ahead waited for the client to take its answers.
-		if again = waited && len(c.s.Out) == 0 && c.open == nil && !c.more; again {
+		// What was read ahead may have waited for the client to take its answers.
+		if again = len(c.s.Out) == 0 && len(c.s.In) > 0 && c.open == nil && !c.more && !c.last; again {
+			held := len(c.s.In)
 			if c.parse(); c.closed {
 				return
 			}
+			again = len(c.s.In) < held || len(c.s.Out) > 0
 		}
 	}
 	c.count()
--- a/test/clients_test.go
+++ b/test/clients_test.go
@@ -88,6 +88,23 @@
 	p.waitLog(fmt.Sprintf(`"code":"C06","peer":"%s"`, c.LocalAddr()))
 }
 
+// TestReadLate: a client that asks a lot at once and reads late gets every answer. Guards what was read ahead against
+// being forgotten while answers waited.
+func TestReadLate(t *testing.T) {
+	_, p := site(t, nil, options{})
+	c, at := dial(t, p), time.Now()
+	const asked = 40_000
+	go func() { _, _ = io.WriteString(c, strings.Repeat("GET /quote HTTP/1.1\r\n\r\n", asked)) }()
+	require.Eventually(t, func() bool { return time.Since(at) > 300*time.Millisecond }, patience, 10*time.Millisecond)
+	r := bufio.NewReader(c)
+	for i := range asked {
+		a, err := http.ReadResponse(r, nil)
+		require.NoError(t, err, i)
+		require.Equal(t, 405, a.StatusCode, i)
+		_, _ = io.Copy(io.Discard, a.Body)
+	}
+}
+
 // TestForms: a query that readers could understand otherwise than its client meant is turned away.
 func TestForms(t *testing.T) {
 	ns, p := site(t, nil, options{})
