--- a/balance/balance.go
+++ b/balance/balance.go
@@ -74,7 +74,6 @@
 	hedgeFree   = 4.0   // second copies in hedgeWindow without any traffic: our own restraint
 	hedgeShare  = 0.05  // the same for each query or part taken in it
 	hedgeWindow = 2000  // ms
-	hungLevel   = 10.0  // x the fleet's level: more than any slowness seen, so nothing will come
 	jamFor      = 1000  // ms after a refusal or a full replica in which no second copy is made
 	shedAt      = 0.06  // x aim: a part held so long makes the module refuse what is worth least
 	shedSpan    = 0.20  // x aim: so much more for what is worth most
@@ -857,17 +856,16 @@
 
 // move gives up a late attempt at a part that may be repeated, where no second copy may be out: once its end
 // is told, the next sweep tries another replica. Guards safe parts against replicas that hang or crawl;
-// throws away what was about to come. In a jam only what hangs is left.
+// throws away what was about to come, so it keeps still in a jam as copies do.
 func (b *Balancer) move(now float64, p *part, a *attempt) bool {
-	here := b.levelOf(now, a.r)
 	if !b.s.Cancel || b.s.SecondCopies || p.q.class.Effect != Safe ||
-		now < b.jamAt+jamFor && here < hungLevel*b.fleet ||
+		now < b.jamAt+jamFor ||
 		b.s.MaxAttempts > 0 && len(p.attempts) >= b.s.MaxAttempts ||
 		b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow) {
 		return false
 	}
 	r, free := b.pick(now, p.Shard, p.cost, p, p)
-	if r == nil || !free || !b.fit(now, r) || p.tried(r) || 2*b.levelOf(now, r) > here {
+	if r == nil || !free || !b.fit(now, r) || p.tried(r) || 2*b.levelOf(now, r) > b.levelOf(now, a.r) {
 		return false
 	}
 	b.copies.add(now, hedgeWindow)
