--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
 test:
-	go test ./...
+	go test -count=1 ./... # the program under test is built by the tests, which the cache does not see
 
 lint:
 	@bad=$$(gofmt -l .); if [ -n "$$bad" ]; then echo "gofmt: $$bad"; exit 1; fi
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -74,6 +74,7 @@
 	hedgeFree   = 4.0   // second copies in hedgeWindow without any traffic: our own restraint
 	hedgeShare  = 0.05  // the same for each query or part taken in it
 	hedgeWindow = 2000  // ms
+	moveLevel   = 4.0   // x another replica's level: from there on a late part moves to it
 	jamFor      = 1000  // ms after a refusal or a full replica in which no second copy is made
 	shedAt      = 0.06  // x aim: a part held so long makes the module refuse what is worth least
 	shedSpan    = 0.20  // x aim: so much more for what is worth most
@@ -865,7 +866,7 @@
 		return false
 	}
 	r, free := b.pick(now, p.Shard, p.cost, p, p)
-	if r == nil || !free || !b.fit(now, r) || p.tried(r) || 2*b.levelOf(now, r) > b.levelOf(now, a.r) {
+	if r == nil || !free || !b.fit(now, r) || p.tried(r) || moveLevel*b.levelOf(now, r) > b.levelOf(now, a.r) {
 		return false
 	}
 	b.copies.add(now, hedgeWindow)
--- a/internal/leafs/pool.go
+++ b/internal/leafs/pool.go
@@ -206,13 +206,9 @@
 		return true
 	}
 	if c.given[o.id] = true; c.heard < k.sent {
-		// Nothing has come since the part went out: the connection may have gone dead unseen, and so may those to
-		// the leaf that were idle all the while. A new one tells whether the leaf can be reached.
-		for _, x := range c.leaf.conns {
-			if x == c || x.up && len(x.calls) == 0 && x.heard < k.sent {
-				x.retire(logs.LeafQuiet)
-			}
-		}
+		// Nothing has come since the part went out: the connection may have gone dead unseen. A new one tells
+		// whether the leaf can be reached.
+		c.retire(logs.LeafQuiet)
 	}
 	if len(c.given) > givenMost {
 		c.retire(logs.LeafQuiet)
