Hold a replica that a part was moved off doubtful for parts that must not run twice

Once its parts are moved off, nothing is out at the node, so its level fades before it is sound again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -75,6 +75,7 @@
 	hedgeShare  = 0.05  // the same for each query or part taken in it
 	hedgeWindow = 2000  // ms
 	moveLevel   = 4.0   // x another replica's level: from there on a late part moves to it
+	moveDoubt   = 0.5   // what that says of the first one for parts that must not run twice
 	jamFor      = 1000  // ms after a refusal or a full replica in which no second copy is made
 	shedAt      = 0.06  // x aim: a part held so long makes the module refuse what is worth least
 	shedSpan    = 0.20  // x aim: so much more for what is worth most
@@ -870,6 +871,7 @@
 		return false
 	}
 	b.copies.add(now, hedgeWindow)
+	b.doubt(now, a.r, p.q.class, moveDoubt) // once nothing is out there, its level fades before it is sound
 	b.act.Cancel(p.ID, a.no)
 	return true
 }
