--- a/test/clients_test.go
+++ b/test/clients_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -84,7 +85,9 @@
 		}
 	}
 	assert.Less(t, sent, 32<<20, "the kernel's buffers and ours, and no more")
-	assert.Less(t, peak(t, p), 40, "MB")
+	if os.Getenv("TERNSTAGE_RACE") == "" { // the detector's own memory is not the program's
+		assert.Less(t, peak(t, p), 40, "MB")
+	}
 	p.waitLog(fmt.Sprintf(`"code":"C06","peer":"%s"`, c.LocalAddr()))
 }
 
