Slice map: versions, changes, lineage and routes as a module of its own

Need: districts are to be split, merged and moved while queries run, and the layout is arithmetic in three places. Change: internal/slicemap holds immutable versions of the map (benbjohnson/immutable), applies changes all or none, refuses what cannot be by name, keeps lineage within a bound, and decides what may become of a part whose slice has changed.

--- /dev/null
+++ b/internal/slicemap/change.go
@@ -0,0 +1,191 @@
+package slicemap
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Kind is what a change does.
+type Kind uint8
+
+// The kinds of change. A split, a merge and an assignment are whole at their epoch; a move takes three.
+const (
+	Split    Kind = iota // Slice into Into[0] and Into[1], at district At
+	Merge                // Slice and Other, neighbours with the same holders, into Into[0]
+	Move                 // Slice is to go from node From to node To: copying begins
+	Handover             // To executes in From's place
+	Done                 // From no longer holds Slice
+	Abort                // the move ends and From executes as before
+	Assign               // Holders hold Slice from now on: a repair by the operators
+)
+
+var kindNames = [...]string{"split", "merge", "move", "handover", "done", "abort", "assign"}
+
+// String names the kind as the catalogue does.
+func (k Kind) String() string { return kindNames[k] }
+
+// ParseKind reads the catalogue's name of a kind.
+func ParseKind(name string) (Kind, error) {
+	if i := slices.Index(kindNames[:], name); i >= 0 {
+		return Kind(i), nil
+	}
+	return 0, fmt.Errorf("kind of change %q is unknown", name)
+}
+
+// Change takes the map from one epoch to the next.
+type Change struct {
+	Base, Epoch uint64 // Epoch is above Base
+	Kind        Kind
+	Slice       ID
+	Other       ID       // Merge
+	At          int      // Split: the first district of Into[1]
+	Into        []ID     // Split, Merge: ids never used before
+	From, To    string   // Move
+	Holders     []string // Assign
+}
+
+// edit is a version that is being made of another.
+type edit struct {
+	*Version
+	known   func(string) bool
+	used    func(ID) bool // ids that had a slice once
+	retired []*Slice
+	changed []*Slice
+}
+
+func (e *edit) set(s *Slice) {
+	s.Since = e.Epoch
+	e.byID, e.byLast = e.byID.Set(s.ID, s), e.byLast.Set(s.Hi-1, s)
+	e.changed = append(e.changed, s)
+}
+
+func (e *edit) retire(s *Slice) {
+	e.byID, e.byLast = e.byID.Delete(s.ID), e.byLast.Delete(s.Hi-1)
+	old := *s
+	old.State, old.Since = Retired, e.Epoch
+	e.retired = append(e.retired, &old)
+	e.changed = slices.DeleteFunc(e.changed, func(x *Slice) bool { return x.ID == s.ID })
+}
+
+func (e *edit) slice(id ID) (*Slice, error) {
+	s := e.Version.Slice(id)
+	if s == nil {
+		return nil, fault(id, ErrSlice, "it is not in the map")
+	}
+	return s, nil
+}
+
+// fresh tells that the ids may become slices.
+func (e *edit) fresh(ids []ID, want int) error {
+	if len(ids) != want {
+		return fault(-1, ErrSlice, "%d new ids, not %d", len(ids), want)
+	}
+	for i, id := range ids {
+		if id < 0 || slices.Contains(ids[:i], id) || e.Version.Slice(id) != nil || e.used(id) {
+			return fault(id, ErrSlice, "the id has been used")
+		}
+	}
+	return nil
+}
+
+// apply makes one change.
+func (e *edit) apply(c Change) error {
+	if c.Base != e.Epoch {
+		return fault(-1, ErrBase, "onto %d, at %d", c.Base, e.Epoch)
+	}
+	if c.Epoch <= c.Base {
+		return fault(-1, ErrEpoch, "from %d to %d", c.Base, c.Epoch)
+	}
+	s, err := e.slice(c.Slice)
+	if err != nil {
+		return err
+	}
+	next := *s
+	switch c.Kind {
+	case Split:
+		return e.split(c, s)
+	case Merge:
+		return e.merge(c, s)
+	case Move:
+		if s.State != Serving {
+			return fault(s.ID, ErrState, "a move while it is %v", s.State)
+		}
+		next.State, next.From, next.To = Preparing, c.From, c.To
+	case Handover:
+		if s.State != Preparing {
+			return fault(s.ID, ErrState, "a handover while it is %v", s.State)
+		}
+		next.State = HandingOver
+	case Done:
+		if s.State != HandingOver {
+			return fault(s.ID, ErrState, "done while it is %v", s.State)
+		}
+		next.Holders, next.State, next.From, next.To = s.Executors(), Serving, "", ""
+	case Abort:
+		if s.State != Preparing && s.State != HandingOver {
+			return fault(s.ID, ErrState, "an abort while it is %v", s.State)
+		}
+		next.State, next.From, next.To = Serving, "", ""
+	case Assign:
+		if s.State != Serving {
+			return fault(s.ID, ErrState, "an assignment while it is %v", s.State)
+		}
+		next.Holders = slices.Clone(c.Holders)
+	default:
+		return fault(s.ID, ErrState, "kind %d is unknown", c.Kind)
+	}
+	if err := next.check(e.Districts, e.known); err != nil {
+		return err
+	}
+	e.Epoch = c.Epoch
+	e.set(&next)
+	return nil
+}
+
+// split divides a slice. Where it is being moved, the move goes on for both halves: what is copied is districts.
+func (e *edit) split(c Change, s *Slice) error {
+	if c.At <= s.Lo || c.At >= s.Hi {
+		return fault(s.ID, ErrRange, "a split of %v at %d", s.Range, c.At)
+	}
+	if err := e.fresh(c.Into, 2); err != nil {
+		return err
+	}
+	e.Epoch = c.Epoch
+	e.retire(s)
+	for i, r := range []Range{{s.Lo, c.At}, {c.At, s.Hi}} {
+		half := *s
+		half.ID, half.Range, half.Parents = c.Into[i], r, []ID{s.ID}
+		e.set(&half)
+	}
+	return nil
+}
+
+// merge joins two neighbours. Both must serve from the same holders: guards districts against being said to be
+// where they have not been copied to.
+func (e *edit) merge(c Change, s *Slice) error {
+	o, err := e.slice(c.Other)
+	if err != nil {
+		return err
+	}
+	if s.Lo > o.Lo {
+		s, o = o, s
+	}
+	if s.Hi != o.Lo {
+		return fault(s.ID, ErrRange, "%v and %v are no neighbours", s.Range, o.Range)
+	}
+	if s.State != Serving || o.State != Serving {
+		return fault(s.ID, ErrState, "a merge of %v and %v slices", s.State, o.State)
+	}
+	a, b := slices.Sorted(slices.Values(s.Holders)), slices.Sorted(slices.Values(o.Holders))
+	if !slices.Equal(a, b) {
+		return fault(s.ID, ErrHolder, "a merge of slices held by %v and %v", a, b)
+	}
+	if err := e.fresh(c.Into, 1); err != nil {
+		return err
+	}
+	e.Epoch = c.Epoch
+	e.retire(s)
+	e.retire(o)
+	e.set(&Slice{ID: c.Into[0], Range: Range{s.Lo, o.Hi}, Holders: s.Holders, Parents: []ID{s.ID, o.ID}})
+	return nil
+}
--- /dev/null
+++ b/internal/slicemap/map.go
@@ -0,0 +1,355 @@
+package slicemap
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// The bounds where the operators state none.
+const (
+	DefaultSlices   = 1 << 20 // in one version
+	DefaultVersions = 256     // kept for the queries that began on them
+	DefaultHistory  = 1 << 16 // retired slices by which an old name is understood
+)
+
+// Options are the bounds of a map, and what it must be told.
+type Options struct {
+	Slices, Versions, History int
+	// Number is a node's number for the decision module; false if the list does not have it.
+	Number func(node string) (uint32, bool)
+}
+
+// Stats count what has happened to a map.
+type Stats struct {
+	Epoch     uint64 `json:"epoch"`
+	Slices    int    `json:"slices"`
+	Districts int    `json:"districts"`
+	Groups    int    `json:"groups"`        // sets of holders
+	Moving    int    `json:"moving"`        // slices that are being moved
+	Kept      int    `json:"versions_kept"` // the version in use and those that queries began on
+	KeptMost  int    `json:"versions_kept_max"`
+	LetGo     uint64 `json:"versions_let_go"` // at the bound: their queries live on without
+	Changes   uint64 `json:"changes"`
+	Wholes    uint64 `json:"whole_maps"`
+	Refused   uint64 `json:"refused"` // maps and changes with a fault
+	History   int    `json:"history"`
+	Forgotten uint64 `json:"forgotten"` // retired slices beyond the bound
+	Moved     uint64 `json:"moved"`     // answers that a node does not hold the districts
+	NodeLate  uint64 `json:"moved_node_late"`
+	MapLate   uint64 `json:"moved_map_late"`
+	Disagree  uint64 `json:"moved_same_epoch"`
+}
+
+// set is a set of holders that slices share.
+type set struct {
+	key   string
+	names []string
+	used  int // slices
+}
+
+// Map is the map in use, and what is kept of older ones.
+type Map struct {
+	o       Options
+	cur     *Version
+	now     map[ID]*Slice // of cur, plain: a version's own trie costs four cache misses a look-up
+	kept    []*Version // oldest first; the last is cur
+	highest ID         // of all ids that ever were: new ones are above
+	history map[ID]Range
+	order   []ID // of history, oldest first
+	groups  map[string]int
+	sets    map[int]*set
+	next    int // group
+	stats   Stats
+}
+
+// New makes a map that holds nothing yet.
+func New(o Options) *Map {
+	for _, v := range []struct {
+		to  *int
+		def int
+	}{{&o.Slices, DefaultSlices}, {&o.Versions, DefaultVersions}, {&o.History, DefaultHistory}} {
+		if *v.to <= 0 {
+			*v.to = v.def
+		}
+	}
+	o.Versions = max(o.Versions, 2)
+	m := &Map{o: o, highest: -1, now: map[ID]*Slice{}, history: map[ID]Range{}, groups: map[string]int{}, sets: map[int]*set{}}
+	m.cur = newVersion(0, 0)
+	m.kept = []*Version{m.cur}
+	return m
+}
+
+// Current is the version in use; its epoch is 0 before the first.
+func (m *Map) Current() *Version { return m.cur }
+
+// Whole is a whole map as a source tells it.
+type Whole struct {
+	Epoch     uint64
+	Districts int
+	Nodes     []string // all that may hold slices; empty: any
+	Slices    []*Slice
+}
+
+// Reset takes a whole map, or refuses it and stays as it was. It gives the slices that are in it no more. A map
+// of the epoch in use changes nothing.
+func (m *Map) Reset(w Whole) (retired []ID, err error) {
+	defer func() {
+		if err != nil {
+			m.stats.Refused++
+		}
+	}()
+	if w.Epoch < max(m.cur.Epoch, 1) {
+		return nil, fault(-1, ErrEpoch, "%d, at %d", w.Epoch, m.cur.Epoch)
+	}
+	if w.Epoch == m.cur.Epoch {
+		return nil, nil
+	}
+	if len(w.Slices) > m.o.Slices {
+		return nil, fault(-1, ErrTooMany, "%d of %d", len(w.Slices), m.o.Slices)
+	}
+	if m.cur.Epoch > 0 && w.Districts != m.cur.Districts {
+		return nil, fault(-1, ErrRange, "%d districts, %d before: they are never divided", w.Districts, m.cur.Districts)
+	}
+	v, err := build(w.Epoch, w.Districts, w.Slices, knownOf(w.Nodes))
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range w.Slices {
+		if old := m.cur.Slice(s.ID); old != nil && old.Range != s.Range {
+			return nil, fault(s.ID, ErrSlice, "it was %v and is %v", old.Range, s.Range)
+		} else if old == nil && s.ID <= m.highest {
+			return nil, fault(s.ID, ErrSlice, "the id is not above %d, and is no slice's in use", m.highest)
+		}
+	}
+	var gone []*Slice
+	m.cur.All(func(s *Slice) bool {
+		if v.Slice(s.ID) == nil {
+			gone = append(gone, s)
+			retired = append(retired, s.ID)
+		}
+		return true
+	})
+	was := m.cur
+	v.All(func(s *Slice) bool { m.join(s); return true })
+	was.All(func(s *Slice) bool { m.leave(s); return true })
+	for _, s := range gone {
+		m.retire(s)
+	}
+	m.now = make(map[ID]*Slice, len(w.Slices))
+	for _, s := range w.Slices {
+		m.now[s.ID] = s
+		m.highest = max(m.highest, s.ID) // new ids are above all older ones, so the highest is always in use
+	}
+	m.stats.Wholes++
+	m.adopt(v)
+	return retired, nil
+}
+
+func knownOf(nodes []string) func(string) bool {
+	if len(nodes) == 0 {
+		return nil
+	}
+	set := make(map[string]bool, len(nodes))
+	for _, n := range nodes {
+		set[n] = true
+	}
+	return func(n string) bool { return set[n] }
+}
+
+// Apply takes changes in their order, all or none. Those up to the epoch in use are passed over: news that comes
+// twice is no fault. nodes are what may hold slices; empty: any. It gives the slices that are in the map no more.
+func (m *Map) Apply(changes []Change, nodes []string) (retired []ID, err error) {
+	e := edit{known: knownOf(nodes), used: func(id ID) bool { return id <= m.highest }}
+	copied := *m.cur
+	copied.refs = 0
+	e.Version = &copied
+	highest, did := m.highest, 0
+	for i, c := range changes {
+		if c.Epoch <= m.cur.Epoch {
+			continue
+		}
+		if err := e.apply(c); err != nil {
+			m.stats.Refused++
+			return nil, fmt.Errorf("change %d, %v: %w", i, c.Kind, err)
+		}
+		for _, id := range c.Into {
+			highest = max(highest, id)
+		}
+		e.used = func(id ID) bool { return id <= highest }
+		if did++; e.Len() > m.o.Slices {
+			m.stats.Refused++
+			return nil, fault(-1, ErrTooMany, "%d of %d", e.Len(), m.o.Slices)
+		}
+	}
+	if did == 0 {
+		return nil, nil
+	}
+	was, left := m.cur, map[ID]bool{}
+	for _, s := range e.changed {
+		if e.Version.Slice(s.ID) == s { // a later change may have replaced it
+			m.join(s)
+			m.now[s.ID] = s
+		}
+	}
+	leave := func(id ID) {
+		if old := was.Slice(id); old != nil && !left[id] {
+			left[id] = true
+			m.leave(old)
+		}
+	}
+	for _, s := range e.changed {
+		leave(s.ID)
+	}
+	for _, s := range e.retired {
+		leave(s.ID)
+		delete(m.now, s.ID)
+		m.retire(s)
+		retired = append(retired, s.ID)
+	}
+	m.highest = highest
+	m.stats.Changes += uint64(did)
+	m.adopt(e.Version)
+	return retired, nil
+}
+
+// join puts a slice into the group of its executors.
+func (m *Map) join(s *Slice) {
+	names := slices.Sorted(slices.Values(s.Executors()))
+	key := strings.Join(names, "\x00")
+	g, ok := m.groups[key]
+	if !ok {
+		g = m.next
+		m.next++
+		m.groups[key], m.sets[g] = g, &set{key: key, names: names}
+	}
+	m.sets[g].used++
+	s.group = g
+}
+
+func (m *Map) leave(s *Slice) {
+	x := m.sets[s.group]
+	if x == nil {
+		return
+	}
+	if x.used--; x.used == 0 {
+		delete(m.groups, x.key)
+		delete(m.sets, s.group)
+	}
+}
+
+// retire remembers the districts of a slice, so that who still names it is understood.
+func (m *Map) retire(s *Slice) {
+	if _, ok := m.history[s.ID]; ok {
+		return
+	}
+	m.history[s.ID] = s.Range
+	m.order = append(m.order, s.ID)
+	for len(m.order) > m.o.History {
+		delete(m.history, m.order[0])
+		m.order = m.order[1:]
+		m.stats.Forgotten++
+	}
+}
+
+// adopt puts a version into use.
+func (m *Map) adopt(v *Version) {
+	m.cur = v
+	m.kept = append(m.kept, v)
+	m.sweep()
+}
+
+// sweep frees versions that no query is bound to. At the bound the oldest is let go though queries began on it:
+// they carry their own districts and weights, and lose only their place in the count of versions.
+func (m *Map) sweep() {
+	m.kept = slices.DeleteFunc(m.kept, func(v *Version) bool { return v != m.cur && v.refs <= 0 })
+	for len(m.kept) > m.o.Versions {
+		m.kept[0].refs = -1 << 30
+		m.kept = m.kept[1:]
+		m.stats.LetGo++
+	}
+	m.stats.KeptMost = max(m.stats.KeptMost, len(m.kept))
+}
+
+// Begin binds a query to the version in use; End must follow.
+func (m *Map) Begin() *Version {
+	m.cur.refs++
+	return m.cur
+}
+
+// End frees a query's hold on its version; the last one frees the version.
+func (m *Map) End(v *Version) {
+	if v.refs--; v.refs == 0 && v != m.cur {
+		m.sweep()
+	}
+}
+
+// ErrStale is wrapped where a slice that a client named cannot be understood.
+var ErrStale = fmt.Errorf("%w, or retired too long ago", ErrSlice)
+
+// Resolve gives the districts of a slice that a client named, at whatever epoch that was: ids are never used
+// again, so what is retired is translated by what is kept of it.
+func (m *Map) Resolve(id ID) (Range, error) {
+	if s := m.now[id]; s != nil {
+		return s.Range, nil
+	}
+	if r, ok := m.history[id]; ok {
+		return r, nil
+	}
+	return Range{}, fmt.Errorf("slice %d at epoch %d: %w", id, m.cur.Epoch, ErrStale)
+}
+
+// Route is Version.Route for the version in use, and quicker.
+func (m *Map) Route(legs []Leg, id ID, r Range) []Leg {
+	if s := m.now[id]; s != nil && s.Holds(r) {
+		return append(legs, Leg{id, r})
+	}
+	return m.cur.Route(legs, id, r)
+}
+
+// Slice is a slice of the version in use by its id; nil if there is none, or no more.
+func (m *Map) Slice(id ID) *Slice { return m.now[id] }
+
+// Group numbers the set of nodes that may be sent a slice's parts; -1 if there is no such slice. It is part of
+// what the decision module asks; so are the methods below.
+func (m *Map) Group(id ID) int {
+	if s := m.now[id]; s != nil {
+		return s.group
+	}
+	return -1
+}
+
+// Cells is nil: the holders are told one by one.
+func (m *Map) Cells(int) []int { return nil }
+
+// Replicas are the numbers of a group's nodes that are listed.
+func (m *Map) Replicas(group int) (out []uint32) {
+	x := m.sets[group]
+	if x == nil || m.o.Number == nil {
+		return nil
+	}
+	for _, name := range x.names {
+		if n, ok := m.o.Number(name); ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Stats counts.
+func (m *Map) Stats() Stats {
+	s := m.stats
+	s.Epoch, s.Slices, s.Districts, s.Groups = m.cur.Epoch, m.cur.Len(), m.cur.Districts, len(m.sets)
+	s.Kept, s.History = len(m.kept), len(m.history)
+	return s
+}
+
+// Moving calls f for the slices that are being moved.
+func (m *Map) Moving(f func(*Slice)) {
+	m.cur.All(func(s *Slice) bool {
+		if s.State != Serving {
+			f(s)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/internal/slicemap/slicemap_test.go
@@ -0,0 +1,388 @@
+package slicemap
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// number is a node's number for tests: its hash.
+func number(node string) (uint32, bool) {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(node))
+	return h.Sum32(), true
+}
+
+// whole is a map of n slices of so many districts each, on three of the nodes a to e in a ring.
+func whole(epoch uint64, n, size int) Whole {
+	w := Whole{Epoch: epoch, Districts: n * size}
+	for i := range n {
+		s := &Slice{ID: i, Range: Range{i * size, (i + 1) * size}}
+		for j := range 3 {
+			s.Holders = append(s.Holders, string(rune('a'+(i+j)%5)))
+		}
+		w.Slices = append(w.Slices, s)
+	}
+	return w
+}
+
+func started(t require.TestingT, n, size int) *Map {
+	m := New(Options{Number: number})
+	_, err := m.Reset(whole(1, n, size))
+	require.NoError(t, err)
+	return m
+}
+
+// step is a change onto the map in use.
+func step(m *Map, c Change) Change {
+	c.Base, c.Epoch = m.Current().Epoch, m.Current().Epoch+1
+	return c
+}
+
+func apply(t require.TestingT, m *Map, c Change) []ID {
+	retired, err := m.Apply([]Change{step(m, c)}, nil)
+	require.NoError(t, err)
+	return retired
+}
+
+func TestLifeOfAMove(t *testing.T) {
+	m := started(t, 4, 10)
+	require.Equal(t, []string{"a", "b", "c"}, m.Current().Slice(0).Executors())
+	apply(t, m, Change{Kind: Move, Slice: 0, From: "b", To: "e"})
+	s := m.Current().Slice(0)
+	require.True(t, s.Executes("b") && !s.Executes("e"), "while it is copied the source executes")
+	apply(t, m, Change{Kind: Handover, Slice: 0})
+	s = m.Current().Slice(0)
+	require.True(t, !s.Executes("b") && s.Executes("e"), "from the handover on it is the destination")
+	require.Equal(t, []string{"a", "e", "c"}, s.Executors())
+	apply(t, m, Change{Kind: Abort, Slice: 0})
+	require.Equal(t, []string{"a", "b", "c"}, m.Current().Slice(0).Executors(), "an abort goes back to the source")
+	for _, k := range []Change{{Kind: Move, From: "b", To: "e"}, {Kind: Handover}, {Kind: Done}} {
+		apply(t, m, k)
+	}
+	require.Equal(t, []string{"a", "e", "c"}, m.Current().Slice(0).Holders)
+	// And back again: A to B and back to A.
+	for _, k := range []Change{{Kind: Move, From: "e", To: "b"}, {Kind: Handover}, {Kind: Done}} {
+		apply(t, m, k)
+	}
+	require.Equal(t, []string{"a", "b", "c"}, m.Current().Slice(0).Holders)
+}
+
+func TestSplitOfASliceThatMoves(t *testing.T) {
+	m := started(t, 4, 10)
+	apply(t, m, Change{Kind: Move, Slice: 0, From: "b", To: "e"})
+	require.Equal(t, []ID{0}, apply(t, m, Change{Kind: Split, Slice: 0, At: 4, Into: []ID{4, 5}}))
+	for _, id := range []ID{4, 5} {
+		s := m.Current().Slice(id)
+		require.Equal(t, Preparing, s.State, "the move goes on for both halves")
+		require.Equal(t, []ID{0}, s.Parents)
+	}
+	_, err := m.Apply([]Change{step(m, Change{Kind: Merge, Slice: 4, Other: 5, Into: []ID{6}})}, nil)
+	require.ErrorIs(t, err, ErrState, "halves that move cannot be merged")
+	apply(t, m, Change{Kind: Handover, Slice: 4})
+	apply(t, m, Change{Kind: Abort, Slice: 5})
+	require.Equal(t, []string{"a", "e", "c"}, m.Current().Slice(4).Executors())
+	require.Equal(t, []string{"a", "b", "c"}, m.Current().Slice(5).Executors())
+	r, err := m.Resolve(0)
+	require.NoError(t, err, "the old name is understood")
+	require.Equal(t, []Leg{{4, Range{0, 4}}, {5, Range{4, 10}}}, m.Current().Route(nil, 0, r))
+}
+
+func TestRefusedMapsChangeNothing(t *testing.T) {
+	bad := func(f func(w *Whole)) Whole {
+		w := whole(9, 4, 10)
+		w.Nodes = []string{"a", "b", "c", "d", "e"}
+		f(&w)
+		return w
+	}
+	for name, c := range map[string]struct {
+		w   Whole
+		err error
+	}{
+		"hole":            {bad(func(w *Whole) { w.Slices[1].Lo++ }), ErrHole},
+		"hole at the end": {bad(func(w *Whole) { w.Slices = w.Slices[:3] }), ErrHole},
+		"overlap":         {bad(func(w *Whole) { w.Slices[1].Lo-- }), ErrOverlap},
+		"unknown holder":  {bad(func(w *Whole) { w.Slices[2].Holders[0] = "z" }), ErrHolder},
+		"no holder":       {bad(func(w *Whole) { w.Slices[2].Holders = nil }), ErrHolder},
+		"holder twice":    {bad(func(w *Whole) { w.Slices[2].Holders[0] = w.Slices[2].Holders[1] }), ErrHolder},
+		"epoch back":      {bad(func(w *Whole) { w.Epoch = 4 }), ErrEpoch},
+		"id twice":        {bad(func(w *Whole) { w.Slices[3].ID = 2 }), ErrSlice},
+		"id below 0":      {bad(func(w *Whole) { w.Slices[3].ID = -2 }), ErrSlice},
+		"other districts": {bad(func(w *Whole) { w.Districts++ }), ErrRange},
+		"empty slice":     {bad(func(w *Whole) { w.Slices[3].Hi = w.Slices[3].Lo }), ErrRange},
+		"retired":         {bad(func(w *Whole) { w.Slices[3].State = Retired }), ErrState},
+		"move to nobody":  {bad(func(w *Whole) { w.Slices[3].State = Preparing }), ErrHolder},
+		"reused id": {bad(func(w *Whole) {
+			w.Slices[0].ID, w.Slices[0].Hi, w.Slices[1].Lo = 0, 5, 5 // the same id, other districts
+		}), ErrSlice},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m := started(t, 4, 10)
+			for _, k := range []Change{{Kind: Move, Slice: 0, From: "b", To: "e"}, {Kind: Handover}, {Kind: Done},
+				{Kind: Assign, Slice: 1, Holders: []string{"a"}}} {
+				apply(t, m, k)
+			}
+			was := m.Current()
+			_, err := m.Reset(c.w)
+			require.ErrorIs(t, err, c.err)
+			require.Same(t, was, m.Current())
+			require.EqualValues(t, 1, m.Stats().Refused)
+		})
+	}
+	m := started(t, 4, 10)
+	for name, c := range map[string]struct {
+		c   Change
+		err error
+	}{
+		"other base":    {Change{Base: 7, Epoch: 8, Kind: Handover}, ErrBase},
+		"epoch back":    {Change{Base: 1, Epoch: 1, Kind: Handover}, nil}, // told twice
+		"unknown slice": {Change{Base: 1, Epoch: 2, Kind: Handover, Slice: 99}, ErrSlice},
+		"not moving":    {Change{Base: 1, Epoch: 2, Kind: Handover}, ErrState},
+		"split outside": {Change{Base: 1, Epoch: 2, Kind: Split, At: 10, Into: []ID{4, 5}}, ErrRange},
+		"split reuses":  {Change{Base: 1, Epoch: 2, Kind: Split, At: 5, Into: []ID{3, 5}}, ErrSlice},
+		"far merge":     {Change{Base: 1, Epoch: 2, Kind: Merge, Other: 2, Into: []ID{4}}, ErrRange},
+		"other holders": {Change{Base: 1, Epoch: 2, Kind: Merge, Other: 1, Into: []ID{4}}, ErrHolder},
+		"to a holder":   {Change{Base: 1, Epoch: 2, Kind: Move, From: "a", To: "b"}, ErrHolder},
+		"from a fourth": {Change{Base: 1, Epoch: 2, Kind: Move, From: "d", To: "e"}, ErrHolder},
+	} {
+		was := m.Current()
+		_, err := m.Apply([]Change{c.c}, nil)
+		require.ErrorIs(t, err, c.err, name)
+		require.Same(t, was, m.Current(), name)
+	}
+	// All or none: the second is at fault, the first is not made either.
+	was := m.Current()
+	_, err := m.Apply([]Change{{Base: 1, Epoch: 2, Kind: Split, At: 5, Into: []ID{4, 5}},
+		{Base: 2, Epoch: 3, Kind: Split, At: 5, Into: []ID{6, 7}}}, nil)
+	var f *Fault
+	require.True(t, errors.As(err, &f) && f.Slice == 0 && errors.Is(err, ErrSlice), err)
+	require.Same(t, was, m.Current())
+}
+
+func TestVersionsAreFreedAndBounded(t *testing.T) {
+	m := New(Options{Versions: 4, History: 2})
+	_, err := m.Reset(whole(1, 4, 100))
+	require.NoError(t, err)
+	first := m.Begin()
+	again := m.Begin()
+	for i := range 3 {
+		apply(t, m, Change{Kind: Split, Slice: m.Current().At(0).ID, At: 50 >> i, Into: []ID{4 + 2*i, 5 + 2*i}})
+	}
+	require.Equal(t, 2, m.Stats().Kept, "versions that nobody began on are freed at once")
+	m.End(first)
+	require.Equal(t, 2, m.Stats().Kept)
+	m.End(again)
+	require.Equal(t, 1, m.Stats().Kept)
+	var held []*Version
+	for i := range 8 {
+		held = append(held, m.Begin())
+		apply(t, m, Change{Kind: Assign, Slice: 1, Holders: []string{fmt.Sprint(i)}})
+	}
+	require.Equal(t, 4, m.Stats().Kept)
+	require.EqualValues(t, 5, m.Stats().LetGo)
+	for _, v := range held {
+		m.End(v)
+	}
+	require.Equal(t, 1, m.Stats().Kept)
+	_, err = m.Resolve(0)
+	require.ErrorIs(t, err, ErrStale, "the third to be retired pushed the first out")
+	_, err = m.Resolve(6)
+	require.NoError(t, err)
+}
+
+func TestAfterMoved(t *testing.T) {
+	m := started(t, 4, 10)
+	for range 4 {
+		apply(t, m, Change{Kind: Assign, Slice: 1, Holders: []string{"a", "b", "c"}})
+	}
+	require.EqualValues(t, 5, m.Current().Epoch)
+	require.Equal(t, Wait{Pause: lateMost, Until: 8, Read: 8}, m.AfterMoved(5, 8, 1), "we are late")
+	require.Equal(t, Wait{Pause: pauseLate}, m.AfterMoved(5, 4, 1), "the node is late")
+	require.Equal(t, Wait{}, m.AfterMoved(4, 5, 1), "the leg is old")
+	require.Equal(t, Wait{Pause: 4 * pauseLate}, m.AfterMoved(5, 5, 3), "pauses grow")
+	require.Equal(t, Wait{Pause: pauseMost}, m.AfterMoved(5, 5, 99), "and are bounded")
+	l := Leg{0, Range{2, 8}}
+	_, v := m.Again(nil, l, true, true)
+	require.Equal(t, Never, v)
+	_, v = m.Again(nil, l, true, false)
+	require.Equal(t, Stay, v)
+	apply(t, m, Change{Kind: Split, Slice: 0, At: 5, Into: []ID{4, 5}})
+	_, v = m.Again(nil, l, true, true)
+	require.Equal(t, Never, v, "a split does not make it known not to have run")
+	legs, v := m.Again(nil, l, true, false)
+	require.Equal(t, Replace, v)
+	require.Equal(t, []Leg{{4, Range{2, 5}}, {5, Range{5, 8}}}, legs)
+}
+
+func TestUnitCountsNoDistrictTwice(t *testing.T) {
+	u := NewUnit(Range{0, 10}, []Leg{{0, Range{0, 10}}})
+	require.NoError(t, u.Replace(Range{0, 10}, []Leg{{4, Range{0, 4}}, {5, Range{4, 10}}}))
+	require.Error(t, u.Replace(Range{0, 10}, nil))
+	whole, err := u.In(Range{0, 4})
+	require.True(t, err == nil && !whole, "half of a part is not in")
+	_, err = u.In(Range{0, 4})
+	require.Error(t, err, "the same districts twice")
+	_, err = u.In(Range{0, 10})
+	require.Error(t, err, "an old and a new holder both answer")
+	require.Error(t, u.Replace(Range{4, 10}, []Leg{{6, Range{4, 7}}, {7, Range{8, 10}}}), "a hole")
+	whole, err = u.In(Range{4, 10})
+	require.True(t, err == nil && whole && u.Whole())
+}
+
+// TestAgainstModel draws histories of changes, good and bad, and holds the map against a table of districts.
+func TestAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := started(t, 4, 16)
+		nodes := []string{"a", "b", "c", "d", "e"}
+		executor := make([][]string, 64) // by district: the model's own
+		for i := range executor {
+			executor[i] = slices.Sorted(slices.Values(m.Current().At(i).Holders))
+		}
+		next := 4
+		type snapshot struct {
+			v    *Version
+			text string
+		}
+		var held []snapshot
+		text := func(v *Version) (out string) {
+			v.All(func(s *Slice) bool {
+				out += fmt.Sprint(s.ID, s.Range, s.Holders, s.State, s.From, s.To, ";")
+				return true
+			})
+			return out
+		}
+		one := func(label string) *Slice { return m.Current().At(rapid.IntRange(0, 63).Draw(t, label)) }
+		t.Repeat(map[string]func(*rapid.T){
+			"split": func(t *rapid.T) {
+				s, at := one("d"), rapid.IntRange(0, 63).Draw(t, "at")
+				_, err := m.Apply([]Change{step(m, Change{Kind: Split, Slice: s.ID, At: at, Into: []ID{next, next + 1}})}, nil)
+				require.Equal(t, at > s.Lo && at < s.Hi, err == nil)
+				next += 2
+			},
+			"merge": func(t *rapid.T) {
+				a, b := one("a"), one("b")
+				_, err := m.Apply([]Change{step(m, Change{Kind: Merge, Slice: a.ID, Other: b.ID, Into: []ID{next}})}, nil)
+				same := slices.Equal(executor[a.Lo], executor[b.Lo])
+				require.Equal(t, (a.Hi == b.Lo || b.Hi == a.Lo) && a.State == Serving && b.State == Serving && same, err == nil)
+				next++
+			},
+			"move": func(t *rapid.T) {
+				s := one("d")
+				from, to := rapid.SampledFrom(nodes).Draw(t, "from"), rapid.SampledFrom(nodes).Draw(t, "to")
+				_, err := m.Apply([]Change{step(m, Change{Kind: Move, Slice: s.ID, From: from, To: to})}, nodes)
+				require.Equal(t, s.State == Serving && slices.Contains(s.Holders, from) && !slices.Contains(s.Holders, to), err == nil)
+			},
+			"handover": func(t *rapid.T) {
+				s := one("d")
+				_, err := m.Apply([]Change{step(m, Change{Kind: Handover, Slice: s.ID})}, nil)
+				if require.Equal(t, s.State == Preparing, err == nil); err == nil {
+					for d := s.Lo; d < s.Hi; d++ {
+						x := slices.Clone(executor[d])
+						x[slices.Index(x, s.From)] = s.To
+						executor[d] = slices.Sorted(slices.Values(x))
+					}
+				}
+			},
+			"done": func(t *rapid.T) {
+				s := one("d")
+				_, err := m.Apply([]Change{step(m, Change{Kind: Done, Slice: s.ID})}, nil)
+				require.Equal(t, s.State == HandingOver, err == nil)
+			},
+			"abort": func(t *rapid.T) {
+				s := one("d")
+				_, err := m.Apply([]Change{step(m, Change{Kind: Abort, Slice: s.ID})}, nil)
+				require.Equal(t, s.State != Serving, err == nil)
+				for d := s.Lo; err == nil && s.State == HandingOver && d < s.Hi; d++ {
+					executor[d] = slices.Sorted(slices.Values(s.Holders))
+				}
+			},
+			"hold": func(t *rapid.T) {
+				v := m.Begin()
+				held = append(held, snapshot{v, text(v)})
+			},
+			"free": func(t *rapid.T) {
+				if len(held) > 0 {
+					i := rapid.IntRange(0, len(held)-1).Draw(t, "i")
+					m.End(held[i].v)
+					held = slices.Delete(held, i, i+1)
+				}
+			},
+			"whole": func(t *rapid.T) {
+				w := Whole{Epoch: m.Current().Epoch + 3, Districts: 64}
+				m.Current().All(func(s *Slice) bool { c := *s; w.Slices = append(w.Slices, &c); return true })
+				retired, err := m.Reset(w)
+				require.NoError(t, err)
+				require.Empty(t, retired)
+			},
+			"": func(t *rapid.T) {
+				v, at, groups := m.Current(), 0, map[string]int{}
+				v.All(func(s *Slice) bool {
+					require.Equal(t, at, s.Lo)
+					require.Same(t, s, v.Slice(s.ID))
+					require.Same(t, s, m.Slice(s.ID))
+					names := slices.Sorted(slices.Values(s.Executors()))
+					for at = s.Lo; at < s.Hi; at++ {
+						require.Equal(t, executor[at], names)
+						require.Same(t, s, v.At(at))
+					}
+					g, known := groups[fmt.Sprint(names)]
+					require.True(t, !known || g == m.Group(s.ID), "one group for one set of holders")
+					groups[fmt.Sprint(names)] = m.Group(s.ID)
+					require.Len(t, m.Replicas(m.Group(s.ID)), len(names))
+					return true
+				})
+				require.Equal(t, 64, at)
+				require.Equal(t, v.Len(), len(m.now))
+				require.Equal(t, len(groups), m.Stats().Groups, "no group is left behind")
+				for id := range next {
+					if r, err := m.Resolve(id); err == nil {
+						legs := v.Route(nil, id, r)
+						require.NoError(t, NewUnit(r, []Leg{{id, r}}).Replace(r, legs))
+					}
+				}
+				for _, h := range held {
+					require.Equal(t, h.text, text(h.v), "a version never changes")
+				}
+			},
+		})
+	})
+}
+
+func big(b *testing.B, n int) *Map {
+	m := started(b, n, 8)
+	b.ReportAllocs()
+	b.ResetTimer()
+	return m
+}
+
+func BenchmarkRoute100000(b *testing.B) {
+	m, legs := big(b, 100_000), make([]Leg, 0, 4)
+	for i := range b.N {
+		id := i * 7919 % 100_000
+		if legs = m.Route(legs[:0], id, Range{id * 8, id*8 + 8}); len(legs) != 1 {
+			b.Fatal(legs)
+		}
+	}
+}
+
+func BenchmarkSplit100000(b *testing.B) {
+	m := big(b, 100_000)
+	for i := range b.N {
+		id := i % 100_000
+		if i > 0 && id == 0 {
+			b.StopTimer()
+			m = started(b, 100_000, 8)
+			b.StartTimer()
+		}
+		s := m.Current().Slice(id)
+		n := 100_000 + 2*id
+		if _, err := m.Apply([]Change{step(m, Change{Kind: Split, Slice: id, At: s.Lo + 4, Into: []ID{n, n + 1}})}, nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
