--- a/balance/api.go
+++ b/balance/api.go
@@ -44,8 +44,9 @@
 	Zone           int
 	Tick           float64 // shortest time between turns
 
-	Shards, Cells, Reach int // shard s is held by cells (s+j) mod Cells, j < Reach
-	PerCall              int // most parts in one call
+	Shards, Cells, Reach int    // of a fixed layout: how many there are, and how many cells hold a shard
+	Layout               Layout // who holds a shard
+	PerCall              int    // most parts in one call
 	CallCost             float64
 
 	MustAsk   bool    // the list of replicas comes only when watched or fetched
@@ -63,11 +64,25 @@
 	AnswerGrace                           float64
 }
 
+// Layout says who holds a shard. It may change between events; LayoutChanged tells of that.
+type Layout interface {
+	// Group numbers the set of holders of a shard, 0 and above: shards of one group have the same holders. -1 if
+	// there is no such shard.
+	Group(shard int) int
+	// Cells are the cells whose replicas hold a group's shards, where the layout goes by cells.
+	Cells(group int) []int
+	// Replicas are the holders of a group's shards, where it names them one by one.
+	Replicas(group int) []uint32
+}
+
 // check names the first setting that is out of its range; NaN and infinities are.
 func (s *Settings) check() error {
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("Classes: missing")
 	}
+	if s.Layout == nil {
+		return fmt.Errorf("Layout: missing")
+	}
 	if s.Shards < 1 || s.Cells < 1 || s.Reach < 1 || s.Reach > s.Cells {
 		return fmt.Errorf("Shards, Cells or Reach: %d, %d, %d are out of range", s.Shards, s.Cells, s.Reach)
 	}
@@ -123,6 +138,7 @@
 	Shard   int
 	Key     uint64
 	Weight  float64 // share of the query; a step's weights add up to 1
+	Unit    int     // parts of a query with the same number above 0 count only when all of them are in
 	Hint    float64 // expected work, in any unit
 	HasHint bool
 }
@@ -170,6 +186,7 @@
 	Full                  // turned away unseen; never ran
 	ConnectFailed         // no connection; never ran
 	Moot                  // not sent at all
+	Moved                 // the replica does not hold the shard, or not yet; never ran
 )
 
 // Result reports one attempt's end; every Send gets exactly one.
@@ -179,8 +196,9 @@
 	Replica uint32
 	Outcome Outcome
 	Latency float64
-	Final   bool // the part is over: answered, abandoned, or its query has ended
-	Alone   bool // it was the connection that failed: the replica is known to stand
+	Final   bool    // the part is over: answered, abandoned, or its query has ended
+	Alone   bool    // it was the connection that failed: the replica is known to stand
+	Pause   float64 // Moved: ms in which the part is not tried again, unless Resume ends that sooner
 }
 
 // Actions is what the co-ordinator does for the module.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -114,8 +114,7 @@
 		fleet: 1, median: 1, bestWay: 1, ways: map[int]stamp{}, room: never,
 		spare: answerSpare + s.Tick, hold: holdLeast, cores: 1, leastAim: never, wakeAt: never,
 		watchAt: never, jamAt: -never, tenants: make([]stamp, len(s.Tenants)),
-		holders: make([][]*replica, s.Cells),
-		shards:  make([]shard, s.Shards),
+		holders: map[int][]*replica{}, shards: map[int]*shard{},
 		tryTime: make([]float64, len(s.Classes))}
 	for _, c := range s.Classes {
 		b.maxWorth, b.leastAim = max(b.maxWorth, c.Worth), min(b.leastAim, c.Aim)
@@ -152,7 +151,7 @@
 		}
 	}
 	slices.SortFunc(b.order, func(x, y *replica) int { return cmp.Compare(x.Replica, y.Replica) })
-	clear(b.holders)
+	b.holders, b.byCell = map[int][]*replica{}, map[int][]*replica{}
 	b.order = slices.DeleteFunc(b.order, func(r *replica) bool {
 		if kind != ListDelta && !seen[r.Replica] {
 			r.State = Gone
@@ -165,9 +164,8 @@
 			delete(b.replicas, r.Replica)
 			return true
 		}
-		for j := 0; j < b.s.Reach && r.State != Gone && r.Cell < b.s.Cells; j++ {
-			i := (r.Cell - j + b.s.Cells) % b.s.Cells
-			b.holders[i] = append(b.holders[i], r)
+		if r.State != Gone {
+			b.byCell[r.Cell] = append(b.byCell[r.Cell], r)
 		}
 		return false
 	})
@@ -212,9 +210,17 @@
 func (b *Balancer) PartArrived(now float64, in Part) {
 	b.taken.add(now, max(b.s.BudgetWindow, hedgeWindow))
 	q := b.byGroup[in.Group]
-	if q == nil || in.Shard < 0 || in.Shard >= len(b.shards) || b.parts[in.ID] != nil {
+	if q == nil || b.s.Layout.Group(in.Shard) < 0 || b.parts[in.ID] != nil {
 		return
 	}
+	b.add(q, in)
+	if !q.fresh {
+		q.fresh, b.fresh = true, append(b.fresh, q)
+	}
+}
+
+// add makes a part of a query.
+func (b *Balancer) add(q *query, in Part) *part {
 	p := &part{Part: in, q: q, cost: 1}
 	if in.HasHint && in.Hint > 0 && in.Hint < hintMost {
 		// The unit is the mean hint of our own traffic, so the first threshold 1 means the same everywhere.
@@ -222,10 +228,11 @@
 		b.unit += (in.Hint - b.unit) * max(unitGain, 1/b.hints)
 		p.cost = min(max(in.Hint/b.unit, minCost), maxCost)
 	}
-	q.parts, b.parts[in.ID] = append(q.parts, p), p
-	if !q.fresh {
-		q.fresh, b.fresh = true, append(b.fresh, q)
+	if in.Unit > 0 {
+		q.join(p)
 	}
+	q.parts, b.parts[in.ID] = append(q.parts, p), p
+	return p
 }
 
 // AttemptEnded takes the outcome of an attempt.
@@ -245,6 +252,9 @@
 	}
 	p.live, p.over = p.live-1, p.over || res.Final
 	b.learn(now, a, res)
+	if res.Outcome == Moved {
+		p.pause = now + res.Pause
+	}
 	if p.q.ended || p.in {
 		return
 	}
@@ -253,8 +263,7 @@
 		return
 	}
 	if res.Outcome == OK {
-		p.in = true
-		p.q.share += p.Weight
+		p.q.share += p.arrive()
 		b.cancel(p)
 	} else if p.live > 0 {
 		return
@@ -285,8 +294,8 @@
 		b.act.Watch()
 		b.watchAt = now + cmp.Or(b.s.AskWithin/2, math.Inf(1)) // should no answer come at all
 	}
-	for i := range b.shards {
-		b.shards[i].tidy(now)
+	for _, id := range b.active {
+		b.shards[id].tidy(now)
 	}
 	for _, q := range b.fresh {
 		if q.fresh = false; !q.ended {
@@ -300,9 +309,11 @@
 		}
 	}
 	b.queries = slices.DeleteFunc(b.queries, func(q *query) bool { return q.ended })
-	for i := range b.shards {
-		b.release(now, i)
+	b.sortActive()
+	for _, id := range b.active {
+		b.release(now, id)
 	}
+	b.rest()
 	wake := b.watchAt
 	if len(b.queries) > 0 {
 		wake = min(wake, now+sweepEvery)
@@ -321,7 +332,7 @@
 	worst, cost := 0.0, 0.0
 	for _, p := range q.parts {
 		cost += p.cost
-		worst = max(worst, now-b.shards[p.Shard].oldest)
+		worst = max(worst, now-b.held(p.Shard, now))
 	}
 	worth := q.value / b.maxWorth
 	room := b.room * (roomLow + worth)
@@ -342,8 +353,11 @@
 	}
 	todo := ask[:0]
 	for _, p := range ask {
-		if p.reserve = q.step == 0 && sum >= q.class.Need-weightSlack; !p.reserve {
-			todo = append(todo, p)
+		asked := p.unit != nil && p.unit.asked // parts that count together are asked together
+		if p.reserve = q.step == 0 && sum >= q.class.Need-weightSlack && !asked; !p.reserve {
+			if todo = append(todo, p); p.unit != nil {
+				p.unit.asked = true
+			}
 		}
 		sum += p.Weight
 	}
@@ -360,7 +374,7 @@
 	}
 	for _, p := range parts {
 		i := slices.IndexFunc(calls, func(c *call) bool {
-			return len(c.parts) < most && c.parts[0].Shard%b.s.Cells == p.Shard%b.s.Cells
+			return len(c.parts) < most && b.s.Layout.Group(c.parts[0].Shard) == b.s.Layout.Group(p.Shard)
 		})
 		if i < 0 {
 			i = len(calls)
@@ -377,7 +391,7 @@
 		if c != big {
 			i = slackQueue(i, c.cost/big.cost)
 		}
-		s := &b.shards[c.parts[0].Shard]
+		s := b.queue(c.parts[0].Shard, now)
 		s.fifo[i] = append(s.fifo[i], c)
 	}
 }
@@ -444,7 +458,7 @@
 
 // release drains a shard's queues while some usable replica of it is at its usual latency.
 func (b *Balancer) release(now float64, shard int) {
-	s := &b.shards[shard]
+	s := b.shards[shard]
 	for i := s.next(); i >= 0; i = s.next() {
 		c := s.fifo[i][0]
 		r, free := b.pick(now, shard, c.cost, c.parts[0], nil)
@@ -468,7 +482,7 @@
 func (b *Balancer) pick(now float64, shard int, cost float64, p, tried *part) (best *replica, free bool) {
 	var bestKey [3]float64
 	dear := b.dear()
-	for _, r := range b.holders[shard%b.s.Cells] {
+	for _, r := range b.holdersOf(shard) {
 		if !b.lawful(now, r, shard, cost) {
 			continue
 		}
@@ -541,7 +555,7 @@
 		some := max(1, math.Floor(all/2/grant))
 		share, from = all/2/some, slot*b.s.FallFor
 		turn := math.Mod(float64(b.s.Me)/peers+(slot+float64(r.Replica))*coldStride, 1) * peers
-		for _, o := range b.holders[shard%b.s.Cells] {
+		for _, o := range b.holdersOf(shard) {
 			if turn >= some && turn < some*coldBeside && b.fit(now, o) { // only where it decides
 				fit++
 			}
@@ -619,6 +633,10 @@
 // learn takes what an outcome says of its replica.
 func (b *Balancer) learn(now float64, a *attempt, res Result) {
 	r, bad := a.r, 1.0
+	if res.Outcome == Moved {
+		r.used = now
+		return // it says nothing against the replica
+	}
 	b.gap, b.lastEnd = b.gap+(now-max(b.lastEnd, now-fadeMost)-b.gap)*meanGain, now
 	observe := func(x float64) {
 		was := b.fade(r.level, now)
@@ -819,8 +837,11 @@
 	if i < 0 {
 		return false
 	}
-	q.parts[i].reserve = false
-	b.place(now, q.parts[i:i+1])
+	legs := q.parts[i].legs()
+	for _, p := range legs {
+		p.reserve = false
+	}
+	b.place(now, legs)
 	return true
 }
 
@@ -829,6 +850,9 @@
 func (b *Balancer) again(now float64, p *part, second bool) bool {
 	// The last try is kept for later: guards against a dead set using up all tries in a moment.
 	n := len(p.attempts)
+	if now < p.pause {
+		return false
+	}
 	if n >= 2 && n == b.s.MaxAttempts-1 && now < p.q.arrived+hedgeAim*p.q.class.Aim || !b.mayRepeat(now, p) ||
 		second && (now < b.jamAt+jamFor ||
 			b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow)) {
@@ -937,9 +961,7 @@
 func (b *Balancer) settle(now float64, q *query) {
 	could := 0.0
 	for _, p := range q.parts {
-		if p.in || p.live > 0 || b.mayRepeat(now, p) {
-			could += p.Weight
-		}
+		could += p.weighs(func(x *part) bool { return x.in || x.live > 0 || b.mayRepeat(now, x) })
 	}
 	hopeless := could < q.class.Floor-weightSlack || q.share >= could-weightSlack
 	if q.reaches(q.share) || !q.reaches(could) && hopeless {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -7,6 +7,8 @@
 	"reflect"
 	"strings"
 	"testing"
+
+	"ternstage/internal/slicemap"
 )
 
 // rig is a co-ordinator for tests: it keeps what the module does and checks the rules on every action.
@@ -83,6 +85,9 @@
 		told: map[uint32]float64{}, started: map[uint32]float64{},
 		coldTold: map[uint32]float64{}, cell: map[uint32]int{}, refused: map[uint64]float64{}}
 	var err error
+	if s.Layout == nil {
+		s.Layout = slicemap.NewFixed(s.Shards, s.Cells, s.Reach)
+	}
 	if g.b, err = New(s, 7, g); err != nil {
 		t.Fatal(err)
 	}
@@ -985,6 +990,7 @@
 	} {
 		s := settings()
 		change(&s)
+		s.Layout = slicemap.NewFixed(s.Shards, s.Cells, s.Reach)
 		if _, err := New(s, 1, &rig{}); err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%s: %v", name, err)
 		}
@@ -1149,6 +1155,7 @@
 		s := settings()
 		s.Classes = append([]Class(nil), s.Classes...)
 		spoil(&s)
+		s.Layout = slicemap.NewFixed(s.Shards, s.Cells, s.Reach)
 		if _, err := New(s, 1, newRig(t, settings())); err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%s: error %v", name, err)
 		}
--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"ternstage/balance"
+	"ternstage/internal/slicemap"
 )
 
 // printer carries out the module's actions by printing them.
@@ -28,7 +29,7 @@
 	out := &printer{}
 	b, err := balance.New(balance.Settings{
 		Classes: []balance.Class{{Aim: 500, Deadline: 1000, Worth: 1, Floor: 1, Need: 1}},
-		Shards:  2, Cells: 2, Reach: 2, SecondCopies: true, MaxAttempts: 3, MaxRetryAfter: 1000, Tick: 1,
+		Shards:  2, Cells: 2, Reach: 2, Layout: slicemap.NewFixed(2, 2, 2), SecondCopies: true, MaxAttempts: 3, MaxRetryAfter: 1000, Tick: 1,
 	}, 1, out)
 	if err != nil {
 		fmt.Println(err)
--- /dev/null
+++ b/balance/layout.go
@@ -0,0 +1,170 @@
+package balance
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// How queues, holders and parts follow a layout that moves, and how a turn's work stays with what is active.
+// Nothing here decides: the layout says who holds a shard, balance.go what is sent.
+
+// unit is parts that count together: what was one part for the client and is held by several shards.
+type unit struct {
+	number int
+	parts  []*part
+	weight float64
+	left   int  // parts that are not in
+	asked  bool // none of them is a reserve
+}
+
+// LayoutChanged tells that the layout has changed.
+func (b *Balancer) LayoutChanged() { clear(b.holders) }
+
+// PartReplaced puts parts in the place of one of whose attempts none is out: its shard is others' now. What was
+// tried of it counts for each of them. It tells whether it did; a part without a unit cannot be replaced.
+func (b *Balancer) PartReplaced(now float64, id uint64, by []Part) bool {
+	p := b.parts[id]
+	if p == nil || p.in || p.live > 0 || p.q.ended || p.unit == nil {
+		return false
+	}
+	q, u := p.q, p.unit
+	weight, queued := u.weight, p.queued
+	p.queued, p.over = false, true
+	delete(b.parts, id)
+	var todo []*part
+	for _, in := range by {
+		in.Unit = u.number
+		x := b.add(q, in)
+		x.attempts, x.reserve, x.pause = slices.Clone(p.attempts), p.reserve, p.pause
+		todo = append(todo, x)
+	}
+	// Its own place is given up only now, so that the others find the unit.
+	is := func(x *part) bool { return x == p }
+	q.parts, u.parts = slices.DeleteFunc(q.parts, is), slices.DeleteFunc(u.parts, is)
+	u.weight, u.left = weight, u.left-1
+	if queued {
+		b.place(now, todo)
+	}
+	return true
+}
+
+// Resume ends the pause of a part: what it waited for has come.
+func (b *Balancer) Resume(id uint64) {
+	if p := b.parts[id]; p != nil {
+		p.pause = 0
+	}
+}
+
+// idleShards bounds how many shards with nothing queued keep the turn of their queues.
+const idleShards = 4096
+
+// queue is the shard's queues, to which something is about to be added.
+func (b *Balancer) queue(id int, now float64) *shard {
+	s := b.shards[id]
+	if s == nil {
+		s = &shard{}
+		b.shards[id] = s
+	}
+	if !s.active {
+		s.active, s.oldest, b.active, b.sorted = true, now, append(b.active, id), false
+	}
+	return s
+}
+
+// held tells since when the oldest call of a shard is held.
+func (b *Balancer) held(id int, now float64) float64 {
+	if s := b.shards[id]; s != nil && s.active {
+		return s.oldest
+	}
+	return now
+}
+
+// sortActive sorts the active shards, so that a turn does the same whatever came first.
+func (b *Balancer) sortActive() {
+	if !b.sorted {
+		slices.Sort(b.active)
+		b.sorted = true
+	}
+}
+
+// rest takes the shards at which nothing is queued off the list of active ones.
+func (b *Balancer) rest() {
+	b.active = slices.DeleteFunc(b.active, func(id int) bool {
+		s := b.shards[id]
+		for _, f := range s.fifo {
+			if len(f) > 0 {
+				return false
+			}
+		}
+		s.active = false
+		return true
+	})
+	if len(b.shards) > idleShards+len(b.active) {
+		maps.DeleteFunc(b.shards, func(_ int, s *shard) bool { return !s.active })
+	}
+}
+
+// holdersOf are the replicas that hold a shard, by id.
+func (b *Balancer) holdersOf(shard int) []*replica {
+	g := b.s.Layout.Group(shard)
+	if g < 0 {
+		return nil
+	}
+	list, ok := b.holders[g]
+	if !ok {
+		for _, cell := range b.s.Layout.Cells(g) {
+			list = append(list, b.byCell[cell]...)
+		}
+		for _, id := range b.s.Layout.Replicas(g) {
+			if r := b.replicas[id]; r != nil && r.State != Gone {
+				list = append(list, r)
+			}
+		}
+		slices.SortFunc(list, func(x, y *replica) int { return cmp.Compare(x.Replica, y.Replica) })
+		b.holders[g] = list
+	}
+	return list
+}
+
+// legs are the parts that count with this one, itself included.
+func (p *part) legs() []*part {
+	if p.unit != nil {
+		return p.unit.parts
+	}
+	return []*part{p}
+}
+
+// weighs is what a part adds to a sum over its query's parts if all that count with it pass: once for all.
+func (p *part) weighs(pass func(*part) bool) float64 {
+	switch {
+	case p.unit == nil && pass(p):
+		return p.Weight
+	case p.unit != nil && p.unit.parts[0] == p && !slices.ContainsFunc(p.unit.parts, func(x *part) bool { return !pass(x) }):
+		return p.unit.weight
+	}
+	return 0
+}
+
+// arrive notes that a part is in and gives the weight that is in with it.
+func (p *part) arrive() float64 {
+	p.in = true
+	if p.unit == nil {
+		return p.Weight
+	}
+	if p.unit.left--; p.unit.left > 0 {
+		return 0
+	}
+	return p.unit.weight
+}
+
+// join puts a part of a query into its unit.
+func (q *query) join(p *part) {
+	i := slices.IndexFunc(q.parts, func(x *part) bool { return x.unit != nil && x.unit.number == p.Unit })
+	if i < 0 {
+		p.unit = &unit{number: p.Unit}
+	} else {
+		p.unit = q.parts[i].unit
+	}
+	p.unit.parts, p.unit.weight, p.unit.left = append(p.unit.parts, p), p.unit.weight+p.Weight, p.unit.left+1
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -14,10 +14,13 @@
 	act                  Actions
 	rng                  uint64
 	replicas             map[uint32]*replica
-	order                []*replica   // by id
-	holders              [][]*replica // of the shards that begin at a cell
-	shards               []shard
-	queries, fresh       []*query // in order of arrival
+	order                []*replica // by id
+	byCell               map[int][]*replica
+	holders              map[int][]*replica // by the layout's group; made when first asked for
+	shards               map[int]*shard     // those that something was queued at
+	active               []int              // those at which something is, and perhaps a few more
+	sorted               bool               // active is in order
+	queries, fresh       []*query           // in order of arrival
 	byID                 map[uint64]*query
 	byGroup              map[int]*query
 	parts                map[uint64]*part
@@ -76,6 +79,8 @@
 	live                      int // attempts out
 	queued, in, reserve, over bool
 	attempts                  []*attempt
+	unit                      *unit   // nil if it counts by itself
+	pause                     float64 // not tried again before
 }
 
 type query struct {
@@ -100,6 +105,7 @@
 	deficit [queues]float64
 	turn    int
 	oldest  float64 // since when its oldest call is held, as of tidy
+	active  bool    // it is in the list of those
 }
 
 type replica struct {
--- /dev/null
+++ b/cmd/ternstage/extras.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+
+	"ternstage/internal/catalog"
+	"ternstage/internal/config"
+	"ternstage/internal/core"
+	"ternstage/internal/discovery"
+	"ternstage/internal/flight"
+	"ternstage/internal/operator"
+	"ternstage/internal/slicemap"
+)
+
+const (
+	flightFile  = "deploy/flight.toml"
+	envFlight   = "TERNSTAGE_FLIGHT"
+	envOperator = "TERNSTAGE_OPERATOR"
+	movingMost  = 100 // slices shown as being moved
+)
+
+// extras is what an installation switches on beside the platform's settings.
+type extras struct {
+	file   *operator.File
+	flight flight.Config
+	toml   bool // Flight's section came from flight.toml
+}
+
+// loadExtras reads the operator's file, if one is named, and else Flight's own.
+func loadExtras(path string) (*extras, error) {
+	if path == "" {
+		path = os.Getenv(envOperator)
+	}
+	f, err := operator.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	x := &extras{file: f}
+	if o := f.Flight; o != nil {
+		x.flight = flight.Config{Enabled: o.Enabled, Listen: o.Listen, Nodes: o.Nodes, Streams: o.Streams, Conns: o.Conns}
+		x.flight.Defaults()
+		return x, nil
+	}
+	if path = os.Getenv(envFlight); path == "" {
+		path = flightFile
+	}
+	_, err = os.Stat(path)
+	x.toml = !errors.Is(err, fs.ErrNotExist)
+	x.flight, err = flight.Load(path)
+	return x, err
+}
+
+// slices is the map of slices where they move, which is then the module's layout; nil where they do not.
+func (x *extras) slices(cfg *config.Config, nodes *discovery.Nodes) *slicemap.Map {
+	o := x.file.Slices
+	if o == nil {
+		return nil
+	}
+	m := slicemap.New(slicemap.Options{Slices: o.Most, Versions: o.Versions, History: o.History, Number: nodes.Number})
+	cfg.Module.Layout, cfg.Book.Slices = m, true
+	return m
+}
+
+// catalogue is where the map comes from.
+func (x *extras) catalogue(cfg *config.Config) catalog.Options {
+	o := x.file.Slices
+	return catalog.Options{Address: o.Catalogue, Most: o.AnswerBytes(), Follow: o.Follow(), Seed: cfg.Seed}
+}
+
+// slicesBody is what GET /_slices shows.
+type slicesBody struct {
+	slicemap.Stats
+	core.Moves
+	List []catalog.Slice `json:"moves"` // the first that are being moved
+}
+
+// pages are the paths that show something of what is switched on.
+func (x *extras) pages(c *core.Core, m *slicemap.Map) map[string]func() []byte {
+	if m == nil {
+		return nil
+	}
+	return map[string]func() []byte{"/_slices": func() []byte {
+		b := slicesBody{Stats: m.Stats(), Moves: c.Moves()}
+		b.List, b.Stats.Moving = catalog.Moving(m, movingMost)
+		text, err := json.Marshal(b)
+		if err != nil {
+			return []byte(`{}`)
+		}
+		return text
+	}}
+}
--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -3,184 +3,99 @@
 package main
 
 import (
+	"errors"
 	"fmt"
-	"math"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
 
-	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
+	"github.com/spf13/cobra"
 
-	"ternstage/internal/clients"
 	"ternstage/internal/config"
-	"ternstage/internal/core"
-	"ternstage/internal/discovery"
-	"ternstage/internal/flight"
-	"ternstage/internal/leafs"
-	"ternstage/internal/logs"
-	"ternstage/internal/loop"
-	"ternstage/internal/reload"
-)
-
-const (
-	flightFile  = "deploy/flight.toml"
-	memoryShare = 0.6    // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
-	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
-	leafShare   = 4      // one in so many of the others is for leafs
-	clientBytes = 6      // one in so many bytes of the memory is for what clients send and are sent
-	listenOn    = 650.0  // ms after SIGTERM in which new connections still come
-	killMost    = 3000.0 // ms: a longer deadline of a class does not put off SIGKILL, which comes no sooner than
-	killSpare   = 700.0  // so long after the longest deadline
-	answerSpare = 150.0  // ms before SIGKILL by which all is answered
-	exitBy      = 60_000 // ms after SIGTERM at the latest
 )
 
 func main() {
-	if err := run(); err != nil {
+	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "ternstage:", err)
+		if errors.Is(err, config.ErrNone) {
+			fmt.Fprintln(os.Stderr, "To try it on an emulated fleet: make try. To serve: BALANCER_CONFIG=FILE ternstage")
+		}
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	// Before anything else: guards against a signal whose default action would end the program while it starts.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, unix.SIGHUP)
-	cfg, err := config.Load()
-	if err != nil {
-		return err
+// command is the command line: without a sub-command it serves, as the platform starts it.
+func command() *cobra.Command {
+	var file string
+	root := &cobra.Command{Use: "ternstage", Short: "A broker between many teams' services",
+		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error { return serve(file) }}
+	root.PersistentFlags().StringVar(&file, "operator", "",
+		"the operator's file (Jsonnet); "+envOperator+" names it otherwise, and without either none is read")
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Serve, as BALANCER_CONFIG says", Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return serve(file) }},
+		&cobra.Command{Use: "check FILE", Short: "Check a configuration and the operator's file, and say what they do",
+			Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error { return check(c, args[0], file) }},
+		&cobra.Command{Use: "version", Short: "Say which build this is", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				c.Println("ternstage", version())
+				return nil
+			}})
+	root.SetOut(os.Stdout)
+	return root
+}
+
+// version is the commit that was built, as the go command notes it.
+func version() string {
+	b, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
 	}
-	path := os.Getenv("TERNSTAGE_FLIGHT")
-	if path == "" {
-		path = flightFile
+	out, dirty := b.Main.Version, ""
+	for _, s := range b.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			out = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			dirty = " with changes"
+		}
 	}
-	fc, err := flight.Load(path)
+	return out + dirty + " " + b.GoVersion
+}
+
+// check reads what serve would read and says what it would do.
+func check(c *cobra.Command, path, operatorFile string) error {
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
-	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
-	log := logs.New(os.Stderr, cfg.Name)
-	defer log.Close()
-
-	l, err := loop.New()
+	cfg, err := config.Parse(text, os.Getenv, false)
 	if err != nil {
-		return err
+		return fmt.Errorf("%s: %w", path, err)
 	}
-	clock := &waker{Loop: l}
-	clock.timer = l.NewTimer(func() {}) // a wake-up is all it is for: the turn follows every one
-	c, err := core.New(cfg.Module, cfg.Seed, core.Options{MaxOpen: cfg.MaxOpen, Clock: clock, Log: log})
+	x, err := loadExtras(operatorFile)
 	if err != nil {
 		return err
 	}
-	files := cfg.Sockets - spareFiles
-	clientFiles := files - files/leafShare
-	if fc.Enabled {
-		// Flight's connections come out of the clients' part of the descriptors.
-		fc.Conns = min(fc.Conns, clientFiles/2)
-		clientFiles -= fc.Conns
+	c.Printf("%s takes queries at %s and asks discovery at %s\n", cfg.Name, cfg.Listen, cfg.Discovery)
+	for _, k := range cfg.Book.Classes {
+		c.Printf("class %s: %s, wanted within %.0f ms, given up at %.0f ms, answered from %.0f%% of its weight\n",
+			k.Name, k.Effect, k.AimMS, k.DeadlineMS, 100*k.MinShare)
 	}
-	nodes := discovery.NewNodes(cfg.Zones)
-	var back backend
-	if fc.Nodes {
-		back = flight.NewNodes(l, c, log, flight.NodeOptions{Streams: cfg.Streams, DialTimeout: cfg.DialTimeout,
-			KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
-	} else {
-		back = leafs.NewPool(l, c, log, leafs.Options{PerCall: cfg.Module.PerCall, Streams: cfg.Streams,
-			DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
+	for _, t := range cfg.Book.Tenants {
+		c.Printf("tenant %s: %.1f queries a second\n", t.Name, t.Allowance)
 	}
-	watch := discovery.NewWatcher(l, c, log, nodes, cfg.Discovery)
-	c.Attach(back, watch)
-	watch.Known(cfg.Known)
-	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
-		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes},
-		func() bool { return nodes.Size() > 0 })
-	if err != nil {
-		return err
+	switch s := x.file.Slices; s {
+	case nil:
+		c.Printf("%d shards on %d cells, each on %d; they do not move\n", cfg.Module.Shards, cfg.Module.Cells, cfg.Module.Reach)
+	default:
+		c.Printf("slices move, as the catalogue at %s says\n", s.Catalogue)
 	}
-	l.OnTurn(c.Turn)
-
-	stop := &stopper{loop: l, core: c, server: server, longest: min(cfg.Book.Longest(), killMost)}
-	if fc.Enabled {
-		if stop.front, err = flight.Listen(fc, l, c, cfg.Book, log); err != nil {
-			return err
-		}
+	if x.flight.Enabled {
+		c.Printf("Flight clients are taken at %s\n", x.flight.Listen)
 	}
-	stop.timer = l.NewTimer(stop.step)
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, unix.SIGTERM, unix.SIGINT)
-	go func() {
-		<-signals
-		l.Post(stop.begin)
-	}()
-	go reload.New(l, log, watch, cfg).Serve(hangups)
-	log.Info("serving", zap.String("listen", cfg.Listen), zap.Int("known", nodes.Size()),
-		zap.Bool("flight", fc.Enabled), zap.Int("goroutines", runtime.NumGoroutine()))
-	if err := l.Run(); err != nil {
-		return err
+	if x.flight.Nodes {
+		c.Println("rate nodes are asked over Flight")
 	}
-	taken, ends := c.Counts()
-	back.Close()
-	watch.Close()
-	log.Info("stopped", zap.Uint64("taken", taken), zap.Uint64("answered", ends[core.Answered]),
-		zap.Uint64("refused", ends[core.Refused]), zap.Uint64("failed", ends[core.Failed]),
-		zap.Uint64("log_lines_dropped", log.Dropped()), zap.Int("goroutines", runtime.NumGoroutine()))
 	return nil
 }
-
-// backend is a core.Backend that the program can close.
-type backend interface {
-	core.Backend
-	Close()
-}
-
-// waker is the loop as core sees it: one timer for all that core waits for.
-type waker struct {
-	*loop.Loop
-	timer *loop.Timer
-}
-
-// WakeAt implements core.Clock.
-func (w *waker) WakeAt(at float64) { w.timer.Sooner(at) }
-
-// stopper ends the program after SIGTERM. Clients use the connections they have for as long as these stay
-// open, and who takes over may not be up yet: the broker serves on as long as what it takes can be answered
-// before SIGKILL, then closes what is idle, answers all that is taken and exits.
-type stopper struct {
-	loop    *loop.Loop
-	core    *core.Core
-	server  *clients.Server
-	front   *flight.Front // nil where Flight is off
-	timer   *loop.Timer
-	longest float64 // ms: the longest deadline, as it puts SIGKILL off
-	began   float64
-	ending  bool // the Flight front is
-}
-
-func (s *stopper) begin() {
-	if s.began == 0 {
-		s.began = s.loop.Now()
-		s.server.Drain()
-		s.core.AnswerBy(s.began + s.longest + killSpare - answerSpare)
-		s.step()
-	}
-}
-
-func (s *stopper) step() {
-	const every = 10.0
-	past := s.loop.Now() - s.began
-	if past >= max(s.longest, listenOn) || past >= listenOn && s.server.Open() == 0 {
-		s.server.StopListening()
-		if s.front != nil && !s.ending {
-			s.ending = true
-			s.front.Stop(func() { s.front = nil })
-		}
-		if s.core.Open() == 0 && s.front == nil && s.server.Open() == 0 || past >= exitBy {
-			s.loop.Stop()
-			return
-		}
-	}
-	s.timer.Set(s.loop.Now() + every)
-}
--- /dev/null
+++ b/internal/catalog/source.go
@@ -0,0 +1,229 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"math"
+
+	"golang.org/x/sys/unix"
+
+	"ternstage/internal/httpanswer"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+	"ternstage/internal/slicemap"
+)
+
+const (
+	path       = "/catalog/slices"
+	dialMost   = 1000.0 // ms
+	answerMost = 5000.0 // ms beyond the wait: a call without an answer by then has failed
+)
+
+// Sink takes what the catalogue says. An error tells that it was refused, whole.
+type Sink interface {
+	TakeMap(slicemap.Whole) error
+	TakeChanges(cs []slicemap.Change, nodes []string) error
+	Epoch() uint64
+}
+
+// Options say where the catalogue is and how much it may say.
+type Options struct {
+	Address string
+	Most    int // bytes of an answer
+	Follow  slicemap.FollowOptions
+	Seed    uint64
+}
+
+// Source follows a catalogue over one connection, on the loop.
+type Source struct {
+	loop   *loop.Loop
+	sink   Sink
+	log    *logs.Log
+	o      Options
+	follow *slicemap.Follow
+	s      *loop.Stream
+	up     bool
+	out    bool    // a call is out on the connection
+	by     float64 // until when it may take
+	served int
+	timer  *loop.Timer
+}
+
+// NewSource makes a source that asks nothing until Start.
+func NewSource(l *loop.Loop, sink Sink, log *logs.Log, o Options) *Source {
+	s := &Source{loop: l, sink: sink, log: log, o: o, follow: slicemap.NewFollow(o.Follow, o.Seed), by: math.Inf(1)}
+	s.timer = l.NewTimer(s.step)
+	return s
+}
+
+// Start begins to follow.
+func (s *Source) Start() { s.step() }
+
+// Hint tells that a newer map is known somewhere.
+func (s *Source) Hint(epoch uint64) {
+	s.follow.Hint(s.loop.Now(), epoch)
+	s.plan()
+}
+
+// Close ends the connection.
+func (s *Source) Close() {
+	s.drop(logs.Shutdown, nil)
+	s.timer.Stop()
+	s.by = math.Inf(1)
+}
+
+func (s *Source) plan() { s.timer.Set(min(s.by, s.follow.At())) }
+
+// step makes the call that is due, or gives up one that takes too long.
+func (s *Source) step() {
+	now := s.loop.Now()
+	if s.out && now >= s.by {
+		s.fail(logs.SlicesTimeout, errors.New("no answer in time"))
+	}
+	if c, due := s.follow.Next(now); due {
+		if c.Cut {
+			s.drop(logs.SlicesHurried, nil)
+		}
+		s.call(c)
+	}
+	s.plan()
+}
+
+func (s *Source) call(c slicemap.Call) {
+	now := s.loop.Now()
+	s.by = now + c.Wait + answerMost
+	if s.s == nil {
+		fd, err := loop.Connect(s.o.Address)
+		if err == nil {
+			s.s, err = loop.NewStream(s.loop, fd, unix.EPOLLIN|unix.EPOLLOUT|unix.EPOLLRDHUP, s)
+		}
+		if err != nil {
+			s.fail(logs.SlicesRefused, err)
+			return
+		}
+		s.up = false
+		s.by = now + dialMost + c.Wait
+	}
+	target := path
+	if !c.Whole {
+		target = fmt.Sprintf("%s?index=%d&wait=%d", path, c.Index, int(c.Wait))
+	}
+	s.out = true
+	s.s.Out = append(s.s.Out, "GET "+target+" HTTP/1.1\r\nHost: "+s.o.Address+"\r\n\r\n"...)
+	s.write()
+}
+
+func (s *Source) write() {
+	if !s.up {
+		return
+	}
+	if err := s.s.Flush(); err != nil {
+		s.fail(logs.SlicesReset, err)
+		return
+	}
+	want := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
+	if len(s.s.Out) > 0 {
+		want |= unix.EPOLLOUT
+	}
+	s.s.Want(want)
+}
+
+// Ready implements loop.Handler.
+func (s *Source) Ready(events uint32) {
+	defer s.plan()
+	if !s.up {
+		if err := loop.Failure(s.s.FD); err != nil {
+			s.fail(logs.SlicesRefused, err)
+			return
+		}
+		if events&unix.EPOLLOUT == 0 {
+			return
+		}
+		s.up = true
+		s.by += answerMost
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		eof, err := s.s.Read(s.o.Most + 16<<10)
+		at := s.s
+		if s.answer(); s.s != at {
+			return
+		}
+		switch {
+		case err != nil:
+			s.fail(logs.SlicesReset, err)
+			return
+		case eof && s.out:
+			s.fail(logs.SlicesEnded, nil)
+			return
+		case eof:
+			s.drop(logs.SlicesEnded, nil)
+			return
+		}
+	}
+	s.write()
+}
+
+// answer takes a whole answer, and goes on with the next call.
+func (s *Source) answer() {
+	status, body, size, last, err := httpanswer.Parse(s.s.In, s.o.Most)
+	if err == nil && size == 0 {
+		if len(s.s.In) >= s.o.Most+16<<10 {
+			s.fail(logs.SlicesBad, fmt.Errorf("answer over %d bytes", s.o.Most))
+		}
+		return
+	}
+	if err == nil && !s.out {
+		err = errors.New("an answer to no call")
+	}
+	if err == nil && status != 200 {
+		err = fmt.Errorf("status %d", status)
+	}
+	if err != nil {
+		s.fail(logs.SlicesBad, err)
+		return
+	}
+	w, cs, nodes, err := Parse(body)
+	s.s.Consume(size)
+	s.out, s.by = false, math.Inf(1)
+	s.served++
+	if last {
+		s.drop(logs.SlicesEnded, nil)
+	}
+	switch {
+	case err != nil:
+	case w != nil:
+		err = s.sink.TakeMap(*w)
+	default:
+		err = s.sink.TakeChanges(cs, nodes)
+	}
+	now := s.loop.Now()
+	if err != nil {
+		// The map in use stays. One line names the first fault; the whole map is asked for.
+		s.log.Fault(logs.SlicesFault, "map refused", err)
+		s.follow.Refused(now)
+	} else {
+		s.follow.Answered(now, s.sink.Epoch())
+	}
+	s.step()
+}
+
+// drop closes the connection.
+func (s *Source) drop(code logs.Code, err error) {
+	if s.s != nil {
+		s.s.Close()
+		s.s, s.up, s.out = nil, false, false
+		s.log.Conn(code, s.o.Address, s.served, err)
+		s.served = 0
+	}
+}
+
+// fail ends a call that came to nothing.
+func (s *Source) fail(code logs.Code, err error) {
+	if s.s == nil {
+		s.log.Conn(code, s.o.Address, 0, err)
+	}
+	s.drop(code, err)
+	s.by = math.Inf(1)
+	s.follow.Failed(s.loop.Now())
+	s.plan()
+}
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -23,7 +23,10 @@
 // serve answers a request, or hands it to core and waits.
 func (c *conn) serve(m *message) {
 	c.last = m.close
+	page := c.server.pages[m.path]
 	switch {
+	case page != nil && (m.method == "GET" || m.method == "HEAD"):
+		c.reply(response{status: 200, body: page()})
 	case m.path == pathHealth || m.path == pathContracts:
 		if m.method != "GET" && m.method != "HEAD" {
 			c.reply(response{status: 405, body: errorBody(fmt.Errorf("GET only"))})
@@ -65,8 +68,11 @@
 			c.open = nil
 		}
 	}
+	var stale *core.StaleError
 	switch {
 	case err == nil:
+	case errors.As(err, &stale):
+		c.reply(response{status: 400, body: staleBody(stale)})
 	case errors.Is(err, contract.ErrClass):
 		c.reply(response{status: 404, body: errorBody(err)})
 	case errors.Is(err, contract.ErrTenant):
@@ -76,6 +82,12 @@
 	}
 }
 
+// staleBody tells a client whose idea of the slices is too old which epoch is in use.
+func staleBody(err *core.StaleError) []byte {
+	text, _ := json.Marshal(map[string]any{"error": err.Error(), "epoch": err.Epoch})
+	return text
+}
+
 // Finish implements core.Client. The rest of the buffer is parsed from the loop, not from here, as core may
 // be in the middle of a turn.
 func (c *conn) Finish(a core.Answer) {
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -52,12 +52,14 @@
 	draining bool        // health says no
 	ending   bool        // every answer is the last of its connection
 	onIdle   func()
+	pages    map[string]func() []byte
 }
 
 // Options are the limits of the front.
 type Options struct {
-	Conns int // connections
-	Bytes int // of requests and answers on them, at any moment
+	Conns int                      // connections
+	Bytes int                      // of requests and answers on them, at any moment
+	Pages map[string]func() []byte // further paths that show something, as JSON, and who writes it
 }
 
 // NewServer listens. ready tells whether the program serves.
@@ -68,7 +70,7 @@
 		return nil, err
 	}
 	s := &Server{loop: l, core: c, book: b, log: log, ready: ready, most: max(o.Conns, 1), budget: o.Bytes,
-		fd: fd, conns: map[*conn]struct{}{}}
+		fd: fd, conns: map[*conn]struct{}{}, pages: o.Pages}
 	s.timer, s.again = l.NewTimer(s.tend), l.NewTimer(s.accept)
 	if err := l.Add(fd, unix.EPOLLIN, s); err != nil {
 		return nil, err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -87,6 +87,9 @@
 	leastSockets       = 64
 )
 
+// ErrNone tells that no configuration is named.
+var ErrNone = errors.New("BALANCER_CONFIG: missing")
+
 const envDiscovery = "BALANCER_DISCOVERY"
 
 // Load reads the file that BALANCER_CONFIG names; BALANCER_NAME, _LISTEN and _DISCOVERY override it.
@@ -99,7 +102,7 @@
 func load(again bool) (*Config, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
-		return nil, errors.New("BALANCER_CONFIG: missing")
+		return nil, ErrNone
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -44,6 +44,7 @@
 	Classes []Class
 	Tenants []Tenant
 	Marks   bool // clients mark retries
+	Slices  bool // slices move: a query may name the epoch of its slices, answers tell theirs and the districts
 	Taken   []uint64
 	class   map[string]int
 	tenant  map[string]int
@@ -77,7 +78,8 @@
 		Cost   *float64 `json:"cost"`
 		Key    string   `json:"key"`
 	} `json:"shards"`
-	Q *string `json:"q"`
+	Q     *string         `json:"q"`
+	Epoch json.RawMessage `json:"epoch"`
 }
 
 const (
@@ -109,7 +111,7 @@
 		return nil, fmt.Errorf("%w: the deadline is missing or not a positive time", ErrMalformed)
 	}
 	var in body
-	if err := errors.Join(plain(text), json.Unmarshal(text, &in)); err != nil {
+	if err := errors.Join(b.plain(text), json.Unmarshal(text, &in)); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	if in.Q == nil || strings.ContainsRune(*in.Q, utf8.RuneError) || len(in.Shards) == 0 {
@@ -118,6 +120,11 @@
 	r := &core.Request{Name: e.ID, Class: class, Tenant: tenant, Repeat: e.Retry && b.Marks,
 		Deadline: now + min(e.Wait, b.Classes[class].DeadlineMS), Text: []byte(*in.Q),
 		Parts: make([]core.Part, 0, len(in.Shards))}
+	if b.Slices && in.Epoch != nil {
+		if err := json.Unmarshal(in.Epoch, &r.Epoch); err != nil {
+			return nil, fmt.Errorf("%w: epoch %.40s", ErrMalformed, in.Epoch)
+		}
+	}
 	for _, s := range in.Shards {
 		if s.Shard == nil || s.Weight == nil {
 			return nil, fmt.Errorf("%w: a part without shard or weight", ErrMalformed)
@@ -147,7 +154,7 @@
 // plain tells whether a text is JSON that all readers understand alike: UTF-8, each name of an object once,
 // and the names of a query as they are written. Guards against a query that nodes are sent otherwise than
 // its client meant.
-func plain(text []byte) error {
+func (b *Book) plain(text []byte) error {
 	if !utf8.Valid(text) {
 		return errors.New("not UTF-8")
 	}
@@ -170,7 +177,7 @@
 			if open[in].value = !open[in].value; open[in].value {
 				name, _ := t.(string)
 				low := strings.ToLower(name)
-				if open[in].names[low] || low != name && slices.Contains(names, low) {
+				if open[in].names[low] || low != name && (slices.Contains(names, low) || b.Slices && low == "epoch") {
 					return fmt.Errorf("name %.40q", name)
 				}
 				open[in].names[low] = true
@@ -199,20 +206,26 @@
 }
 
 type hit struct {
-	Shard int    `json:"shard"`
-	Doc   string `json:"doc"`
+	Shard     int    `json:"shard"`
+	Doc       string `json:"doc"`
+	Districts []int  `json:"districts,omitempty"`
 }
 
 type reply struct {
-	Complete bool  `json:"complete"`
-	Hits     []hit `json:"hits"`
+	Complete bool   `json:"complete"`
+	Hits     []hit  `json:"hits"`
+	Epoch    uint64 `json:"epoch,omitempty"`
 }
 
 // Body is the body of an answer that is served.
 func Body(a core.Answer) []byte {
-	out := reply{Complete: a.Whole, Hits: make([]hit, 0, len(a.Values))}
+	out := reply{Complete: a.Whole, Hits: make([]hit, 0, len(a.Values)), Epoch: a.Epoch}
 	for _, v := range a.Values {
-		out.Hits = append(out.Hits, hit{v.Shard, string(v.Doc)})
+		h := hit{Shard: v.Shard, Doc: string(v.Doc)}
+		if a.Epoch > 0 {
+			h.Districts = []int{v.Districts.Lo, v.Districts.Hi}
+		}
+		out.Hits = append(out.Hits, h)
 	}
 	text, err := json.Marshal(out)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,7 @@
 package core
 
 import (
+	"container/heap"
 	"errors"
 	"fmt"
 	"math"
@@ -12,6 +13,7 @@
 	"unicode/utf8"
 
 	"ternstage/balance"
+	"ternstage/internal/slicemap"
 )
 
 // Kind is how a request ended for its client.
@@ -27,10 +29,11 @@
 // String names the kind in logs.
 func (k Kind) String() string { return [...]string{"answered", "refused", "failed"}[k] }
 
-// Value is what a node gave for a part.
+// Value is what a node gave for a part, or for some districts of it where slices move.
 type Value struct {
-	Shard int
-	Doc   []byte
+	Shard     int // as the client named it
+	Districts slicemap.Range
+	Doc       []byte
 }
 
 // Usable tells whether what a node gave can be a value: text, as it goes to clients in bodies of JSON, where
@@ -44,6 +47,7 @@
 	Values     []Value
 	RetryAfter float64 // ms, on a refusal
 	TimedOut   bool    // a failure for want of time
+	Epoch      uint64  // of the map by which the request began; 0 where slices do not move
 }
 
 // Client is where the final answer of a request goes.
@@ -68,14 +72,17 @@
 	Tenant   int
 	Deadline float64 // loop clock: when the client leaves
 	Repeat   bool
+	Epoch    uint64 // of the map by which the client named its parts; 0 if it does not say
 	Parts    []Part
 	Text     []byte // what every part must carry
 	Client   Client
 
-	id     uint64
-	parts  []*part
-	unsafe bool
-	left   bool // its client has gone, and a part that must not run twice is still out
+	id      uint64
+	parts   []*part
+	units   []*unit           // where slices move: the parts as the client named them
+	version *slicemap.Version // by which it began
+	unsafe  bool
+	left    bool // its client has gone, and a part that must not run twice is still out
 }
 
 // Unheard tells that its client has gone: the final answer reaches nobody.
@@ -88,6 +95,11 @@
 	attempts []*Attempt
 	value    []byte
 	in       bool
+
+	leg  slicemap.Leg // where slices move
+	unit *unit
+	row  int    // answers in a row that the node does not hold it
+	wait uint64 // the epoch that ends its pause
 }
 
 // late tells that the last attempt of a part is still waited for, or was in vain.
@@ -107,6 +119,12 @@
 	Handle   any     // the back end's own
 	Alone    bool    // set by the back end with how it ended: only its connection broke, the node stands
 
+	// Where slices move: the districts asked for and the epoch by which they were routed, above 0. The back end
+	// sets NodeEpoch with the outcome Moved.
+	Districts        slicemap.Range
+	Epoch, NodeEpoch uint64
+
+	place int // in the heap of deadlines; -1 if it is not there
 	part  *part
 	no    int
 	sent  float64
@@ -168,15 +186,23 @@
 	requests map[uint64]*Request
 	names    map[string]bool // of the requests held
 	parts    map[uint64]*part
-	out      map[*Attempt]struct{}
-	ending   []result // reported, and not yet told to the module
-	gone     []uint64 // requests whose clients left
-	open     int      // queries and parts held
-	answerBy float64  // by then all is answered
-	timeout  float64  // no attempt out ends before
+	out      map[[2]uint64]*Attempt // by part and number: those not yet told to the module as ended
+	due      deadlines              // of those that have not ended
+	ending   []result               // reported, and not yet told to the module
+	gone     []uint64               // requests whose clients left
+	open     int                    // queries and parts held
+	answerBy float64                // by then all is answered
 	wakeAt   float64
 	taken    uint64
 	answered [3]uint64
+
+	slices  *slicemap.Map // nil where slices do not move
+	bySlice map[slicemap.ID][]*part
+	waiting []*part // those that pause for an epoch
+	hint    func(epoch uint64)
+	moves   Moves
+
+	toldEpoch uint64 // of the map that the module knows
 }
 
 // Options are what core needs beside the module's settings.
@@ -184,6 +210,7 @@
 	MaxOpen int // queries and parts held at most; 0 for no limit
 	Clock   Clock
 	Log     Log
+	Slices  *slicemap.Map // nil where slices do not move; else also the layout of the module's settings
 }
 
 // New makes the core and its module.
@@ -191,7 +218,8 @@
 	c := &Core{classes: s.Classes, shards: s.Shards, tries: s.MaxAttempts, maxOpen: o.MaxOpen,
 		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{},
 		parts: map[uint64]*part{}, names: map[string]bool{},
-		out: map[*Attempt]struct{}{}, answerBy: math.Inf(1), timeout: math.Inf(1), wakeAt: math.Inf(1)}
+		out: map[[2]uint64]*Attempt{}, answerBy: math.Inf(1), wakeAt: math.Inf(1),
+		slices: o.Slices, bySlice: map[slicemap.ID][]*part{}, hint: func(uint64) {}}
 	m, err := balance.New(s, seed, c)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
@@ -214,7 +242,7 @@
 	sum, seen := 0.0, make(map[int]bool, len(r.Parts))
 	for _, p := range r.Parts {
 		// A shard asked twice would give one part id two meanings at the node.
-		if p.Shard < 0 || p.Shard >= c.shards || seen[p.Shard] {
+		if p.Shard < 0 || c.slices == nil && p.Shard >= c.shards || seen[p.Shard] {
 			return fmt.Errorf("%w: shard %d is unknown or asked twice", ErrContract, p.Shard)
 		}
 		if !(p.Weight > 0) || p.Weight > 1.001 {
@@ -231,11 +259,18 @@
 	if c.names[r.Name] {
 		return fmt.Errorf("%w: request id %q is in use", ErrContract, r.Name)
 	}
-	now := c.clock.Now()
+	now, count := c.clock.Now(), len(r.Parts)
+	if c.slices != nil {
+		var err error
+		if count, err = c.resolve(r); err != nil {
+			return err
+		}
+	}
 	r.Deadline = min(r.Deadline, c.answerBy)
 	c.taken++
-	// The stated limit of queries and parts held: beyond it the module does not see the query.
-	if c.maxOpen > 0 && c.open+1+len(r.Parts) > c.maxOpen {
+	// The stated limit of queries and parts held: beyond it the module does not see the query. No more does it
+	// before the first map.
+	if c.maxOpen > 0 && c.open+1+count > c.maxOpen || count == 0 {
 		c.end(r, Answer{Kind: Refused, RetryAfter: c.retry})
 		return nil
 	}
@@ -243,9 +278,13 @@
 	r.id, r.unsafe = c.nextID, c.classes[r.Class].Effect == balance.Unsafe
 	group := int(r.id)
 	c.requests[r.id], c.names[r.Name] = r, true
-	c.open += 1 + len(r.Parts)
+	c.open += 1 + count
 	c.module.QueryArrived(now, balance.Query{ID: r.id, Group: group, Class: r.Class, Tenant: r.Tenant,
 		Deadline: r.Deadline, Repeat: r.Repeat})
+	if c.slices != nil {
+		c.begin(now, r)
+		return nil
+	}
 	for _, p := range r.Parts {
 		c.nextID++
 		x := &part{Part: p, id: c.nextID, req: r}
@@ -276,8 +315,12 @@
 		return
 	}
 	a.ended, a.how = true, o
+	if a.place >= 0 {
+		heap.Remove(&c.due, a.place)
+	}
 	if p := a.part; o == balance.OK && !p.in {
 		p.in, p.value = true, value
+		c.arrived(p)
 	}
 	c.ending = append(c.ending, result{a, o})
 }
@@ -302,20 +345,21 @@
 // Turn ends a wake-up: all that happened is told to the module, then it decides once, then it goes out.
 func (c *Core) Turn() {
 	now := c.clock.Now()
-	if now >= c.timeout {
-		c.expire(now)
-	}
+	c.expire(now)
 	// What the module does may end further attempts (a cancel); those wait for the next turn, as its own
 	// events come after its actions.
 	ending, gone := c.ending, c.gone
 	c.ending, c.gone = nil, nil
 	for _, e := range ending {
 		a := e.a
-		delete(c.out, a)
+		delete(c.out, [2]uint64{a.part.id, uint64(a.no)})
 		_, held := c.requests[a.part.req.id]
 		c.module.AttemptEnded(now, balance.Result{Part: a.part.id, Attempt: a.no, Replica: a.Node,
 			Outcome: e.outcome, Latency: now - a.sent, Alone: a.Alone,
-			Final: e.outcome == balance.OK || !held})
+			Final: e.outcome == balance.OK || !held, Pause: c.pause(a, e.outcome)})
+		if c.slices != nil && e.outcome != balance.OK {
+			c.reroute(now, a.part)
+		}
 	}
 	for _, id := range gone {
 		if r := c.requests[id]; r != nil {
@@ -330,7 +374,10 @@
 	}
 	c.module.EndTurn(now)
 	c.back.Flush()
-	next := min(c.wakeAt, c.timeout)
+	next := c.wakeAt
+	if len(c.due) > 0 {
+		next = min(next, c.due[0].Deadline)
+	}
 	if len(c.ending) > 0 {
 		next = 0
 	}
@@ -339,19 +386,11 @@
 	}
 }
 
-// expire ends the attempts whose time is up: one scan for all, no timer for each.
+// expire ends the attempts whose time is up: one heap for all, no timer for each.
 func (c *Core) expire(now float64) {
 	var due []*Attempt
-	c.timeout = math.Inf(1)
-	for a := range c.out {
-		if a.ended {
-			continue
-		}
-		if now >= a.Deadline {
-			due = append(due, a)
-		} else {
-			c.timeout = min(c.timeout, a.Deadline)
-		}
+	for len(c.due) > 0 && now >= c.due[0].Deadline {
+		due = append(due, heap.Pop(&c.due).(*Attempt))
 	}
 	slices.SortFunc(due, func(x, y *Attempt) int { return int(int64(x.part.id) - int64(y.part.id)) })
 	for _, a := range due {
@@ -368,6 +407,10 @@
 	delete(c.names, r.Name)
 	for _, p := range r.parts {
 		delete(c.parts, p.id)
+		c.unlink(p)
+	}
+	if r.version != nil {
+		c.slices.End(r.version)
 	}
 	c.open -= 1 + len(r.parts)
 }
@@ -378,13 +421,16 @@
 	if r == nil {
 		return
 	}
-	if a.Kind == Answered {
+	if a.Kind == Answered && c.slices == nil {
 		for _, p := range r.parts {
 			if p.in {
-				a.Values = append(a.Values, Value{p.Shard, p.value})
+				a.Values = append(a.Values, Value{Shard: p.Shard, Doc: p.value})
 			}
 		}
 	}
+	if c.slices != nil {
+		c.values(r, &a)
+	}
 	a.TimedOut = a.Kind == Failed && slices.ContainsFunc(r.parts, (*part).late)
 	c.forget(r)
 	c.end(r, a)
@@ -409,25 +455,25 @@
 		deadline = min(deadline, now+timeout)
 	}
 	a := &Attempt{Request: p.req.Name, Shard: p.Shard, Text: p.req.Text, Node: node, Deadline: deadline,
-		Once: p.req.unsafe, part: p, no: len(p.attempts), sent: now}
+		Once: p.req.unsafe, part: p, no: len(p.attempts), sent: now, place: -1}
+	if c.slices != nil {
+		a.Districts, a.Epoch = p.leg.Range, c.slices.Current().Epoch
+	}
 	p.attempts = append(p.attempts, a)
-	c.out[a] = struct{}{}
+	c.out[[2]uint64{id, uint64(a.no)}] = a
 	if c.tries > 0 && a.no >= c.tries || deadline <= now {
 		c.Later(a, balance.Moot)
 		return
 	}
-	c.timeout = min(c.timeout, deadline)
+	heap.Push(&c.due, a)
 	c.back.Send(a)
 }
 
 // Cancel stops waiting for an attempt.
 func (c *Core) Cancel(id uint64, attempt int) {
-	for a := range c.out {
-		if a.part.id == id && a.no == attempt && !a.ended {
-			c.back.Abandon(a)
-			c.Later(a, balance.Cancelled)
-			return
-		}
+	if a := c.out[[2]uint64{id, uint64(attempt)}]; a != nil && !a.ended {
+		c.back.Abandon(a)
+		c.Later(a, balance.Cancelled)
 	}
 }
 
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -90,6 +90,12 @@
 	return x
 }
 
+// Number is the number of a member that is listed.
+func (n *Nodes) Number(id string) (uint32, bool) {
+	x, ok := n.byID[id]
+	return x, ok && n.listed[id]
+}
+
 // Address is where a node listens, "" if it is not known any more.
 func (n *Nodes) Address(node uint32) string { return n.address[node] }
 
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,17 +1,14 @@
 package discovery
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"math"
-	"strconv"
-	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	"ternstage/balance"
+	"ternstage/internal/httpanswer"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
 )
@@ -165,7 +162,7 @@
 
 // answer takes a whole answer, and goes on with the watch.
 func (w *Watcher) answer() {
-	status, body, size, last, err := parseAnswer(w.s.In)
+	status, body, size, last, err := httpanswer.Parse(w.s.In, maxAnswer)
 	if err == nil && size == 0 {
 		if len(w.s.In) >= maxAnswer {
 			w.fail(logs.DiscoveryBad, errors.New("answer over 64 KiB"))
@@ -228,61 +225,3 @@
 	w.calling = false
 	w.fail(logs.Shutdown, nil)
 }
-
-var errAnswer = errors.New("malformed answer")
-
-// parseAnswer takes one HTTP answer off in; size is 0 while it is not whole.
-func parseAnswer(in []byte) (status int, body []byte, size int, last bool, err error) {
-	end := bytes.Index(in, []byte("\r\n\r\n"))
-	if end < 0 {
-		return 0, nil, 0, false, nil
-	}
-	line, rest, _ := strings.Cut(string(in[:end]), "\r\n")
-	f := strings.SplitN(line, " ", 3)
-	if len(f) < 2 || !strings.HasPrefix(f[0], "HTTP/1.") {
-		return 0, nil, 0, false, errAnswer
-	}
-	if status, err = strconv.Atoi(f[1]); err != nil {
-		return 0, nil, 0, false, errAnswer
-	}
-	length, chunked := int64(0), false
-	for rest != "" {
-		line, rest, _ = strings.Cut(rest, "\r\n")
-		name, value, _ := strings.Cut(line, ":")
-		switch value = strings.TrimSpace(value); strings.ToLower(name) {
-		case "content-length":
-			if length, err = strconv.ParseInt(value, 10, 32); err != nil || length < 0 || length > maxAnswer {
-				return 0, nil, 0, false, errAnswer
-			}
-		case "transfer-encoding":
-			chunked = strings.EqualFold(value, "chunked")
-		case "connection":
-			last = strings.EqualFold(value, "close")
-		}
-	}
-	at := end + 4
-	if !chunked {
-		if len(in) < at+int(length) {
-			return 0, nil, 0, false, nil
-		}
-		return status, in[at : at+int(length)], at + int(length), last, nil
-	}
-	for {
-		end := bytes.Index(in[at:], []byte("\r\n"))
-		if end < 0 {
-			return 0, nil, 0, false, nil
-		}
-		text, _, _ := strings.Cut(string(in[at:at+end]), ";")
-		n, err := strconv.ParseUint(strings.TrimSpace(text), 16, 31)
-		if err != nil || n > math.MaxInt32/2 {
-			return 0, nil, 0, false, errAnswer
-		}
-		if at += end + 2; len(in) < at+int(n)+2 {
-			return 0, nil, 0, false, nil
-		}
-		body = append(body, in[at:at+int(n)]...)
-		if at += int(n) + 2; n == 0 {
-			return status, body, at, last, nil
-		}
-	}
-}
--- a/internal/flight/config.go
+++ b/internal/flight/config.go
@@ -26,6 +26,16 @@
 	defaultConns   = 128
 )
 
+// Defaults fills in what the operators left out.
+func (c *Config) Defaults() {
+	if c.Streams == 0 {
+		c.Streams = defaultStreams
+	}
+	if c.Conns == 0 {
+		c.Conns = defaultConns
+	}
+}
+
 // Load reads the file; one that is not there leaves Flight off.
 func Load(path string) (Config, error) {
 	c := Config{Streams: defaultStreams, Conns: defaultConns}
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -97,6 +98,12 @@
 	{Name: "doc", Type: arrow.BinaryTypes.Binary},
 }
 
+// districtFields follow where slices move: the districts of a row, hi not included.
+var districtFields = []arrow.Field{
+	{Name: "lo", Type: arrow.PrimitiveTypes.Int32},
+	{Name: "hi", Type: arrow.PrimitiveTypes.Int32},
+}
+
 // call is one DoGet on its way through core. It implements core.Client.
 type call struct{ answer chan core.Answer }
 
@@ -178,6 +185,16 @@
 	case errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded):
 		return status.FromContextError(err).Err()
 	}
+	var stale *core.StaleError
+	if errors.As(err, &stale) {
+		st := status.New(codes.InvalidArgument, err.Error())
+		info := &errdetails.ErrorInfo{Reason: "STALE_SLICE", Domain: "ternstage",
+			Metadata: map[string]string{metaEpoch: strconv.FormatUint(stale.Epoch, 10)}}
+		if with, err := st.WithDetails(info); err == nil {
+			st = with
+		}
+		return st.Err()
+	}
 	return status.Error(codes.InvalidArgument, err.Error())
 }
 
@@ -201,13 +218,22 @@
 
 // send writes the answer as one record batch, a row for each part that is in.
 func send(s flight.FlightService_DoGetServer, a core.Answer) error {
-	meta := arrow.NewMetadata([]string{metaWhole}, []string{strconv.FormatBool(a.Whole)})
-	schema := arrow.NewSchema(answerSchema, &meta)
+	names, values, fields := []string{metaWhole}, []string{strconv.FormatBool(a.Whole)}, answerSchema
+	if a.Epoch > 0 {
+		names, values = append(names, metaEpoch), append(values, strconv.FormatUint(a.Epoch, 10))
+		fields = append(slices.Clone(fields), districtFields...)
+	}
+	meta := arrow.NewMetadata(names, values)
+	schema := arrow.NewSchema(fields, &meta)
 	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
 	defer b.Release()
 	for _, v := range a.Values {
 		b.Field(0).(*array.Int32Builder).Append(int32(v.Shard))
 		b.Field(1).(*array.BinaryBuilder).Append(v.Doc)
+		if a.Epoch > 0 {
+			b.Field(2).(*array.Int32Builder).Append(int32(v.Districts.Lo))
+			b.Field(3).(*array.Int32Builder).Append(int32(v.Districts.Hi))
+		}
 	}
 	rec := b.NewRecordBatch()
 	defer rec.Release()
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/array"
 	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
@@ -19,6 +21,7 @@
 	"ternstage/balance"
 	"ternstage/internal/core"
 	"ternstage/internal/logs"
+	"ternstage/internal/slicemap"
 )
 
 // Outcomes takes what became of attempts, on the loop.
@@ -71,6 +74,8 @@
 	cancel context.CancelFunc
 	state  atomic.Int32 // stateWaiting until its call begins or it is given up
 	over   bool         // the loop's: its outcome is known or no longer wanted
+
+	nodeEpoch uint64 // the goroutine's until it posts
 }
 
 const (
@@ -209,6 +214,7 @@
 		if o == balance.OK {
 			x.ch.served++
 		}
+		x.NodeEpoch = x.nodeEpoch
 		n.core.Ended(x.Attempt, o, value)
 	})
 }
@@ -219,6 +225,10 @@
 	Shard int    `json:"shard"`
 	D     int    `json:"d"`
 	Q     string `json:"q"`
+
+	// Where slices move: the epoch by which the part was routed and its districts, hi not included.
+	Epoch uint64 `json:"e,omitempty"`
+	*slicemap.Range
 }
 
 // ask carries out one attempt.
@@ -234,23 +244,27 @@
 			o = balance.Reset
 		}
 	}()
-	t, err := json.Marshal(ticket{ID: fmt.Sprintf("%s.%d", x.Request, x.Shard), Shard: x.Shard,
-		D: max(int((left - time.Since(begin)).Milliseconds()), 1), Q: string(x.Text)})
+	ask := ticket{ID: fmt.Sprintf("%s.%d", x.Request, x.Shard), Shard: x.Shard,
+		D: max(int((left - time.Since(begin)).Milliseconds()), 1), Q: string(x.Text)}
+	if x.Epoch > 0 {
+		ask.ID, ask.Epoch, ask.Range = fmt.Sprintf("%s.%d", ask.ID, x.Districts.Lo), x.Epoch, &x.Districts
+	}
+	t, err := json.Marshal(ask)
 	if err != nil {
 		return balance.Moot, nil
 	}
 	s, err := x.ch.client.DoGet(ctx, &flight.Ticket{Ticket: t})
 	if err != nil {
-		return outcomeOf(err), nil
+		return x.ended(err), nil
 	}
 	r, err := flight.NewRecordReader(s)
 	if err != nil {
-		return outcomeOf(err), nil
+		return x.ended(err), nil
 	}
 	defer r.Release()
 	// The first batch is the answer: a stream that breaks after it does not undo it.
 	if !r.Next() {
-		return outcomeOf(r.Err()), nil
+		return x.ended(r.Err()), nil
 	}
 	rec := r.RecordBatch()
 	if rec.NumCols() < 1 || rec.NumRows() < 1 {
@@ -295,6 +309,29 @@
 	return true
 }
 
+// The reason and the key of the ErrorInfo by which a node says FAILED_PRECONDITION where slices move: it does not
+// hold the districts at its epoch, and nothing of the part ran.
+const (
+	reasonMoved = "MOVED"
+	metaEpoch   = "epoch"
+)
+
+// ended maps how the attempt's call ended, and takes the node's epoch where it says that the part's districts
+// are not its own. Read by the loop only after run has posted.
+func (x *attempt) ended(err error) balance.Outcome {
+	if st, ok := status.FromError(err); ok && x.Epoch > 0 && st.Code() == codes.FailedPrecondition {
+		for _, d := range st.Details() {
+			if i, ok := d.(*errdetails.ErrorInfo); ok && i.Reason == reasonMoved {
+				if epoch, err := strconv.ParseUint(i.Metadata[metaEpoch], 10, 63); err == nil && epoch > 0 {
+					x.nodeEpoch = epoch
+					return balance.Moved
+				}
+			}
+		}
+	}
+	return outcomeOf(err)
+}
+
 // outcomeOf maps how a call ended that had begun: only the node's own word that it is full proves that the
 // part never ran.
 func outcomeOf(err error) balance.Outcome {
--- a/internal/leafs/conn.go
+++ b/internal/leafs/conn.go
@@ -109,7 +109,7 @@
 		// No probe is sent, so nothing but answers can be good; an E says that we were not understood.
 		return nil, fmt.Errorf("%w: letter %q: %.100q", errFrame, letter, rest)
 	}
-	a, err := parseAnswer(rest)
+	a, err := parseAnswer(rest, c.pool.o.Slices)
 	o := c.byID[a.id]
 	switch {
 	case err != nil:
@@ -134,6 +134,9 @@
 		c.pool.core.Ended(o.a, balance.Failed, nil)
 	case endBusy:
 		c.pool.core.Ended(o.a, balance.Full, nil)
+	case endGone:
+		o.a.NodeEpoch = a.epoch
+		c.pool.core.Ended(o.a, balance.Moved, nil)
 	}
 	return o, nil
 }
@@ -198,7 +201,7 @@
 		c.s.Out = begin(c.s.Out, frameQuery)
 		for _, o := range k.parts {
 			if !o.over {
-				c.s.Out = appendPart(c.s.Out, o.id, o.a.Shard, int(math.Ceil(max(o.a.Deadline-now, 1))), o.a.Text)
+				c.s.Out = appendPart(c.s.Out, o.id, o.a, int(math.Ceil(max(o.a.Deadline-now, 1))), o.a.Text)
 			}
 		}
 		c.s.Out = finish(c.s.Out, 0)
--- a/internal/leafs/frame.go
+++ b/internal/leafs/frame.go
@@ -37,13 +37,20 @@
 	return out
 }
 
-// appendPart adds one part to a Q frame: its line and the query's text.
-func appendPart(out []byte, id string, shard, wait int, text []byte) []byte {
+// appendPart adds one part to a Q frame: its line and the query's text. Where slices move, the list also tells
+// the epoch by which the part was routed and its districts: d=240,e=17,r=120-135, the last one not included.
+func appendPart(out []byte, id string, a *core.Attempt, wait int, text []byte) []byte {
 	out = append(out, id...)
 	out = append(out, ' ')
-	out = strconv.AppendInt(out, int64(shard), 10)
+	out = strconv.AppendInt(out, int64(a.Shard), 10)
 	out = append(out, " d="...)
 	out = strconv.AppendInt(out, int64(wait), 10)
+	if a.Epoch > 0 {
+		out = append(out, ",e="...)
+		out = strconv.AppendUint(out, a.Epoch, 10)
+		out = append(out, ",r="...)
+		out = append(out, a.Districts.String()...)
+	}
 	out = append(out, ' ')
 	out = strconv.AppendInt(out, int64(len(text)), 10)
 	out = append(out, '\n')
@@ -78,24 +85,33 @@
 	endOK   = "ok"
 	endErr  = "err"
 	endBusy = "busy"
+	endGone = "moved" // where slices move: the leaf does not hold the districts; its epoch stands for the score
 )
 
 // answer is an A frame.
 type answer struct {
 	id, end string
+	epoch   uint64 // of moved
 	value   []byte
 }
 
 // parseAnswer reads an A frame. An answer that cannot be read may still tell whose it is. The report has no
 // say: no probe is sent, and one that cannot be read spoils only itself.
-func parseAnswer(rest []byte) (answer, error) {
+func parseAnswer(rest []byte, slices bool) (answer, error) {
 	line, value, ok := bytes.Cut(rest, []byte{'\n'})
 	f := bytes.SplitN(line, []byte{' '}, 4)
 	a := answer{id: string(f[0]), value: value}
 	if !ok || len(f) != 4 {
 		return a, fmt.Errorf("%w: answer line %.100q", errFrame, line)
 	}
-	if a.end = string(f[1]); a.end != endOK && a.end != endErr && a.end != endBusy {
+	if a.end = string(f[1]); a.end == endGone && slices {
+		var err error
+		if a.epoch, err = strconv.ParseUint(string(f[2]), 10, 63); err != nil || a.epoch == 0 {
+			return a, fmt.Errorf("%w: epoch %.40q", errFrame, f[2])
+		}
+		return a, nil
+	}
+	if a.end != endOK && a.end != endErr && a.end != endBusy {
 		return a, fmt.Errorf("%w: end %.20q", errFrame, a.end)
 	}
 	if _, err := strconv.ParseFloat(string(f[2]), 64); err != nil {
--- a/internal/leafs/pool.go
+++ b/internal/leafs/pool.go
@@ -21,6 +21,7 @@
 	DialTimeout float64 // ms
 	KeepAlive   float64 // ms after which a leaf closes an idle connection
 	Sockets     int     // connections to all leafs together
+	Slices      bool    // slices move: a leaf may say that it does not hold one
 }
 
 const (
@@ -307,9 +308,14 @@
 	p.timer.Set(next)
 }
 
-// partID is the part's name on the wire.
+// partID is the part's name on the wire. Where slices move, one may be asked for several ranges of districts by
+// one query, so the first district is part of the name.
 func partID(a *core.Attempt) string {
-	return string(appendInt(append([]byte(a.Request), '.'), a.Shard))
+	out := appendInt(append([]byte(a.Request), '.'), a.Shard)
+	if a.Epoch > 0 {
+		out = appendInt(append(out, '.'), a.Districts.Lo)
+	}
+	return string(out)
 }
 
 // dial opens a connection; nil if there can be none.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -42,6 +42,13 @@
 	DiscoveryTimeout Code = "D04"
 	DiscoveryBad     Code = "D05"
 	DiscoveryMoved   Code = "D06"
+	SlicesEnded      Code = "M01"
+	SlicesReset      Code = "M02"
+	SlicesRefused    Code = "M03"
+	SlicesTimeout    Code = "M04"
+	SlicesBad        Code = "M05"
+	SlicesHurried    Code = "M06" // a node or client told of a newer map while a watch was out
+	SlicesFault      Code = "M10" // a map or a change was refused: the one in use stays
 	Shutdown         Code = "S01"
 	FlightDone       Code = "F01"
 	FlightNode       Code = "F03"
@@ -77,6 +84,11 @@
 	l.Info("connection ended", f...)
 }
 
+// Fault notes that something with a code of its own was refused.
+func (l *Log) Fault(code Code, what string, err error) {
+	l.Warn(what, zap.String("code", string(code)), zap.Error(err))
+}
+
 // Dropped is how many lines found no room.
 func (l *Log) Dropped() uint64 { return l.w.dropped.Load() }
 
--- /dev/null
+++ b/internal/slicemap/follow_test.go
@@ -0,0 +1,75 @@
+package slicemap
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestFollowWatchesAndRereads(t *testing.T) {
+	f := NewFollow(DefaultFollow, 7)
+	c, due := f.Next(0)
+	require.True(t, due && c.Whole && c.Wait == 0, "the whole map first")
+	_, due = f.Next(1)
+	require.False(t, due, "one call at a time")
+	f.Answered(2, 41)
+	c, due = f.Next(2)
+	require.Equal(t, Call{Index: 41, Wait: DefaultFollow.Wait}, c)
+	require.True(t, due)
+	f.Refused(5)
+	c, due = f.Next(5)
+	require.True(t, due && c.Whole, "after a fault the whole map, at once")
+	f.Refused(6)
+	_, due = f.Next(6)
+	require.False(t, due, "a second fault is not asked for at once: the source has nothing better")
+	require.GreaterOrEqual(t, f.At(), 6+DefaultFollow.Least/2)
+}
+
+func TestFollowBacksOffAndIsBounded(t *testing.T) {
+	f, now, calls := NewFollow(DefaultFollow, 7), 0.0, 0
+	for now < 30_000 {
+		if _, due := f.Next(now); due {
+			calls++
+			f.Failed(now)
+		}
+		require.Greater(t, f.At(), now)
+		require.LessOrEqual(t, f.At(), now+DefaultFollow.Most)
+		now = f.At()
+	}
+	require.Less(t, calls, 25, "30 s without a source are a few calls")
+	require.Greater(t, calls, 7)
+}
+
+func TestHintsLeadToOneRead(t *testing.T) {
+	f := NewFollow(DefaultFollow, 7)
+	f.Next(0)
+	f.Answered(0, 41)
+	f.Next(0) // the watch
+	now, reads := 100.0, 0
+	for range 500 { // parts that came back moved, within half a second
+		f.Hint(now, 50)
+		if c, due := f.Next(now); due {
+			require.Equal(t, Call{Index: 41, Cut: true}, c, "the watch is given up, and the source answers at once")
+			reads++
+		}
+		now++
+	}
+	require.Equal(t, 1, reads, "one read at once, not one for each part")
+	f.Hint(now, 40)
+	require.True(t, math.IsInf(f.At(), 1), "what is older says nothing")
+	// A source that is behind the nodes is asked again at a pace.
+	for now < 2600 {
+		if _, due := f.Next(now); due {
+			reads++
+		}
+		f.Answered(now, 41)
+		f.Hint(now, 50)
+		now += 10
+	}
+	require.Less(t, reads, 30)
+	f.Answered(now, 50)
+	f.Next(now)
+	f.Hint(now, 50)
+	require.True(t, math.IsInf(f.At(), 1), "it is known now")
+}
--- a/internal/slicemap/map.go
+++ b/internal/slicemap/map.go
@@ -53,8 +53,8 @@
 	o       Options
 	cur     *Version
 	now     map[ID]*Slice // of cur, plain: a version's own trie costs four cache misses a look-up
-	kept    []*Version // oldest first; the last is cur
-	highest ID         // of all ids that ever were: new ones are above
+	kept    []*Version    // oldest first; the last is cur
+	highest ID            // of all ids that ever were: new ones are above
 	history map[ID]Range
 	order   []ID // of history, oldest first
 	groups  map[string]int
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"ternstage/balance"
+	"ternstage/internal/slicemap"
 )
 
 type settingsText struct {
@@ -72,6 +73,7 @@
 		DrainGrace:  t.Rules.Grace, ColdFrom: t.Rules.ColdFrom, ColdFor: t.Rules.WarmIn,
 		FallMultiple: t.Rules.FallTimes, FallFor: t.Rules.FallFor, BudgetFree: t.Rules.Spare,
 		BudgetShare: t.Rules.Share, BudgetWindow: t.Rules.Window, AnswerGrace: t.Rules.Answer}
+	s.Layout = slicemap.NewFixed(s.Shards, s.Cells, s.Reach)
 	if t.Limits.RetryAfter {
 		s.MaxRetryAfter = t.Limits.MaxWait
 	}
