--- a/api/api.go
+++ b/api/api.go
@@ -7,3 +7,8 @@
 //
 //go:embed operator.schema.json
 var OperatorSchema string
+
+// ExperimentSchema is the JSON Schema of the lab's experiments.
+//
+//go:embed experiment.schema.json
+var ExperimentSchema string
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,9 +18,17 @@
 	Districts int      `json:"districts,omitempty"`
 	Nodes     []string `json:"nodes,omitempty"` // all that may hold slices; none: any
 	Slices    []Slice  `json:"slices,omitempty"`
+	Retired   []Gone   `json:"retired,omitempty"` // the latest last: by these old names are understood
 	Changes   []Change `json:"changes,omitempty"`
 }
 
+// Gone is a slice that is no more.
+type Gone struct {
+	ID int `json:"id"`
+	Lo int `json:"lo"`
+	Hi int `json:"hi"`
+}
+
 // Slice is a line of a whole map.
 type Slice struct {
 	ID      int      `json:"id"`
@@ -85,16 +93,22 @@
 		w.Slices = append(w.Slices, &slicemap.Slice{ID: s.ID, Range: slicemap.Range{Lo: s.Lo, Hi: s.Hi},
 			Holders: s.Holders, State: state, From: s.From, To: s.To, Since: s.Since, Parents: s.Parents})
 	}
+	for _, r := range d.Retired {
+		w.Retired = append(w.Retired, slicemap.Retiree{ID: r.ID, Range: slicemap.Range{Lo: r.Lo, Hi: r.Hi}})
+	}
 	return w, nil, d.Nodes, nil
 }
 
-// Form is a version as a whole answer.
-func Form(v *slicemap.Version, nodes []string) Doc {
+// Form is a version as a whole answer, with the slices that were retired before it.
+func Form(v *slicemap.Version, nodes []string, retired []slicemap.Retiree) Doc {
 	d := Doc{Epoch: v.Epoch, Complete: true, Districts: v.Districts, Nodes: nodes}
 	v.All(func(s *slicemap.Slice) bool {
 		d.Slices = append(d.Slices, formSlice(s))
 		return true
 	})
+	for _, r := range retired {
+		d.Retired = append(d.Retired, Gone{r.ID, r.Lo, r.Hi})
+	}
 	return d
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -457,7 +457,7 @@
 	a := &Attempt{Request: p.req.Name, Shard: p.Shard, Text: p.req.Text, Node: node, Deadline: deadline,
 		Once: p.req.unsafe, part: p, no: len(p.attempts), sent: now, place: -1}
 	if c.slices != nil {
-		a.Districts, a.Epoch = p.leg.Range, c.slices.Current().Epoch
+		a.Districts, a.Epoch = p.leg.Range, c.slices.Routed(p.leg)
 	}
 	p.attempts = append(p.attempts, a)
 	c.out[[2]uint64{id, uint64(a.no)}] = a
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -20,12 +20,13 @@
 
 // Moves counts what became of parts that a change of the map caught.
 type Moves struct {
-	Replaced uint64 `json:"parts_replaced"` // went on as parts of other slices
-	Split    uint64 `json:"parts_split"`    // of those: became more than one
-	Caught   uint64 `json:"parts_caught"`   // were out when their slice changed or was retired
-	Paused   uint64 `json:"parts_paused"`   // a node did not hold them, and they waited
-	Twice    uint64 `json:"counted_twice"`  // answers thrown away as their districts were in already
-	Stale    uint64 `json:"stale_requests"` // named slices that cannot be understood
+	Replaced uint64 `json:"parts_replaced"`  // went on as parts of other slices
+	Split    uint64 `json:"parts_split"`     // of those: became more than one
+	Caught   uint64 `json:"parts_caught"`    // were out when their slice changed or was retired
+	Paused   uint64 `json:"parts_paused"`    // a node did not hold them, and they waited
+	Twice    uint64 `json:"counted_twice"`   // answers thrown away as their districts were in already
+	Stale    uint64 `json:"stale_requests"`  // named slices that cannot be understood
+	Behind   uint64 `json:"behind_requests"` // named slices of a newer map than ours: refused
 }
 
 // Moves counts since the start.
@@ -47,7 +48,7 @@
 func (e *StaleError) Unwrap() []error { return []error{ErrContract, e.Err} }
 
 // resolve finds the districts of a request's parts and how many calls they take by the map in use; 0 if there is
-// no map yet.
+// no map yet, or none as new as the client's: then we are behind, and trying again is harmless.
 func (c *Core) resolve(r *Request) (legs int, err error) {
 	epoch := c.slices.Current().Epoch
 	if r.Epoch > epoch {
@@ -61,6 +62,10 @@
 	var buf [8]slicemap.Leg
 	for i, p := range r.Parts {
 		d, err := c.slices.Resolve(p.Shard)
+		if err != nil && r.Epoch > epoch {
+			c.moves.Behind++
+			return 0, nil
+		}
 		if err != nil {
 			c.moves.Stale++
 			return 0, &StaleError{epoch, err}
@@ -164,7 +169,7 @@
 		return 0
 	}
 	p.row++
-	w := c.slices.AfterMoved(a.Epoch, a.NodeEpoch, p.row)
+	w := c.slices.AfterMoved(p.leg, a.Epoch, a.NodeEpoch, p.row)
 	if w.Read > 0 {
 		c.hint(w.Read)
 	}
--- /dev/null
+++ b/internal/lab/exp/exp.go
@@ -0,0 +1,196 @@
+// Package exp reads the lab's experiments: Jsonnet files, held against api/experiment.schema.json.
+package exp
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"ternstage/api"
+	"ternstage/balance"
+	"ternstage/internal/jsonnetfile"
+	"ternstage/internal/lab/model"
+	"ternstage/internal/slicemap"
+)
+
+// Span is a range from which figures are drawn evenly.
+type Span [2]float64
+
+// Draw draws a figure.
+func (s Span) Draw(r *rand.Rand) float64 { return s[0] + (s[1]-s[0])*r.Float64() }
+
+// The arms of an experiment.
+const (
+	Follow = "follow" // the broker follows the catalogue
+	Sighup = "sighup" // it reads the map at the start and at each SIGHUP, and nodes fence nothing
+	Naive  = "naive"  // as that, and it sends again on any error, whatever the class
+)
+
+// Class is a class of queries.
+type Class struct {
+	Name     string  `json:"name"`
+	Effect   string  `json:"effect"`
+	Share    float64 `json:"share"`
+	Parts    Span    `json:"parts"`
+	Work     Span    `json:"work"`
+	Aim      float64 `json:"aim"`
+	Deadline float64 `json:"deadline"`
+	Worth    float64 `json:"worth"`
+	Late     float64 `json:"late_worth"`
+	Floor    float64 `json:"floor"`
+	Partial  float64 `json:"partial_worth"`
+}
+
+// Once tells that a part of the class must not run twice.
+func (c Class) Once() bool { return c.Effect == "non_idempotent" }
+
+// Experiment is one experiment. Times are ms.
+type Experiment struct {
+	Name      string  `json:"name"`
+	Seconds   float64 `json:"seconds"`
+	Arm       string  `json:"arm"`
+	SighupMS  float64 `json:"sighup_ms"`
+	Nodes     int     `json:"nodes"`
+	Brokers   int     `json:"brokers"`
+	Slices    int     `json:"slices"`
+	Districts int     `json:"districts"`
+	Reach     int     `json:"reach"`
+	Rate      float64 `json:"rate"`
+	Tries     int     `json:"tries"`
+	Retries   int     `json:"retries"`
+	Client    Span    `json:"client_news_ms"`
+	Classes   []Class `json:"classes"`
+	Node      struct {
+		Cores        int     `json:"cores"`
+		Room         int     `json:"room"`
+		ColdFrom     float64 `json:"cold_from"`
+		Warm         float64 `json:"warm"`
+		FallMultiple float64 `json:"fall_multiple"`
+		FallFor      float64 `json:"fall_for"`
+	} `json:"node"`
+	Changes struct {
+		Every    float64 `json:"every"` // 0: none
+		Copy     Span    `json:"copy"`
+		Handover Span    `json:"handover"`
+		Abort    float64 `json:"abort"`
+		Split    float64 `json:"split"`
+		Merge    float64 `json:"merge"`
+		Move     float64 `json:"move"`
+	} `json:"changes"`
+	News struct {
+		List      Span    `json:"list"`
+		Node      Span    `json:"node"`
+		Catalogue Span    `json:"catalogue"`
+		Lost      float64 `json:"lost"`
+		Twice     float64 `json:"twice"`
+		Spoilt    float64 `json:"spoilt"`
+		Outages   []struct {
+			At  float64 `json:"at"`
+			For float64 `json:"for"`
+		} `json:"outages"`
+	} `json:"news"`
+	Troubles struct {
+		Every float64  `json:"every"` // 0: none
+		For   Span     `json:"for"`
+		Kinds []string `json:"kinds"`
+	} `json:"troubles"`
+	Expect map[string]Bound `json:"expect"`
+}
+
+// Bound is what a figure of the summary must keep.
+type Bound struct {
+	Min *float64 `json:"min"`
+	Max *float64 `json:"max"`
+}
+
+// Load reads an experiment. vars are the template's external variables.
+func Load(path string, vars map[string]string) (*Experiment, error) {
+	e := &Experiment{}
+	if err := jsonnetfile.Load(path, api.ExperimentSchema, vars, e); err != nil {
+		return nil, err
+	}
+	e.defaults()
+	if e.Reach > e.Nodes {
+		return nil, fmt.Errorf("%s: reach: %d holders of %d nodes", path, e.Reach, e.Nodes)
+	}
+	for i, c := range e.Classes {
+		if int(c.Parts[0]) < 1 || c.Parts[1] < c.Parts[0] || int(c.Parts[1]) > e.Slices || c.Deadline < c.Aim {
+			return nil, fmt.Errorf("%s: classes[%d]: parts %v of %d slices, aim %v, deadline %v", path, i, c.Parts,
+				e.Slices, c.Aim, c.Deadline)
+		}
+	}
+	return e, nil
+}
+
+func set[T comparable](to *T, v T) {
+	var zero T
+	if *to == zero {
+		*to = v
+	}
+}
+
+func (e *Experiment) defaults() {
+	set(&e.Arm, Follow)
+	set(&e.SighupMS, 10_000)
+	set(&e.Districts, 16)
+	set(&e.Reach, min(3, e.Nodes))
+	set(&e.Tries, 4)
+	set(&e.Client, Span{0, 2000})
+	set(&e.Node.Cores, 2)
+	set(&e.Node.Room, 64)
+	set(&e.Node.ColdFrom, 0.21)
+	set(&e.Node.Warm, 18_000)
+	set(&e.Node.FallMultiple, 2.5)
+	set(&e.Node.FallFor, 1500)
+	set(&e.Changes.Copy, Span{200, 1500})
+	set(&e.Changes.Handover, Span{100, 800})
+	if e.Changes.Split+e.Changes.Merge+e.Changes.Move == 0 {
+		e.Changes.Split, e.Changes.Merge, e.Changes.Move = 1, 1, 2
+	}
+	set(&e.News.List, Span{500, 3000})
+	set(&e.News.Node, Span{2, 150})
+	set(&e.News.Catalogue, Span{2, 150})
+	set(&e.Troubles.For, Span{2000, 6000})
+	for i := range e.Classes {
+		set(&e.Classes[i].Worth, 1)
+		set(&e.Classes[i].Floor, 1)
+	}
+}
+
+// NodeOptions are the figures of a node.
+func (e *Experiment) NodeOptions() model.Options {
+	return model.Options{Cores: e.Node.Cores, Room: e.Node.Room, ColdFrom: e.Node.ColdFrom, Warm: e.Node.Warm,
+		FallMultiple: e.Node.FallMultiple, FallFor: e.Node.FallFor}
+}
+
+// Settings are what a broker's module is told.
+func (e *Experiment) Settings(me int, layout balance.Layout) balance.Settings {
+	s := balance.Settings{Me: me, Peers: e.Brokers, Tick: 5, Shards: e.Slices, Cells: e.Nodes, Reach: e.Reach,
+		Layout: layout, PerCall: 1, MustAsk: true, AskWithin: 10_000, Cancel: true, MaxAttempts: e.Tries,
+		MaxRetryAfter: 1000, DrainGrace: 1000, ColdFrom: e.Node.ColdFrom, ColdFor: e.Node.Warm,
+		FallMultiple: e.Node.FallMultiple, FallFor: e.Node.FallFor, AnswerGrace: 20}
+	for _, c := range e.Classes {
+		k := balance.Class{Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.Late, Floor: c.Floor, Need: 1,
+			PartialWorth: c.Partial}
+		if c.Once() && e.Arm != Naive {
+			k.Effect = balance.Unsafe
+		}
+		s.Classes = append(s.Classes, k)
+	}
+	return s
+}
+
+// NodeID is the name of a node.
+func NodeID(i int) string { return fmt.Sprintf("node-%d", i) }
+
+// Map is the map at the start: slices in a row, each on Reach nodes of a ring.
+func (e *Experiment) Map() slicemap.Whole {
+	w := slicemap.Whole{Epoch: 1, Districts: e.Slices * e.Districts}
+	for i := range e.Slices {
+		s := &slicemap.Slice{ID: i, Range: slicemap.Range{Lo: i * e.Districts, Hi: (i + 1) * e.Districts}}
+		for j := range e.Reach {
+			s.Holders = append(s.Holders, NodeID((i+j)%e.Nodes))
+		}
+		w.Slices = append(w.Slices, s)
+	}
+	return w
+}
--- /dev/null
+++ b/internal/lab/result/result.go
@@ -0,0 +1,189 @@
+// Package result is what a run of the lab found: the summary, its table and its charts.
+package result
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sort"
+	"strings"
+
+	"ternstage/internal/core"
+	"ternstage/internal/lab/check"
+	"ternstage/internal/lab/exp"
+	"ternstage/internal/slicemap"
+)
+
+// Summary is one run, or the sums over several.
+type Summary struct {
+	Name string `json:"name"`
+	Arm  string `json:"arm"`
+	Seed uint64 `json:"seed"`
+	Mode string `json:"mode"`
+	check.Counts
+	Changes    int       `json:"changes"`
+	Epochs     int       `json:"epochs"`
+	Slices     int       `json:"slices_end"`
+	KeptMax    int       `json:"versions_kept_max"`
+	Caught     int       `json:"parts_caught"`   // were out when their slice was retired
+	Replaced   int       `json:"parts_replaced"` // went on as parts of other slices
+	SplitParts int       `json:"parts_split"`
+	Moved      int       `json:"moved"` // nodes' word that they do not hold a part's districts
+	Disagree   int       `json:"moved_same_epoch"`
+	Refusals   int       `json:"maps_refused"`
+	Reads      uint64    `json:"hint_reads"`
+	Stale      int       `json:"stale_requests"`
+	OpenEnd    int       `json:"open_at_end"`
+	P50        float64   `json:"p50_ms"`
+	P99        float64   `json:"p99_ms"`
+	Worth      float64   `json:"worth"`
+	WallS      float64   `json:"wall_s"`
+	SimulatedS float64   `json:"simulated_s"`
+	Notes      []string  `json:"notes,omitempty"`
+	Runs       []Summary `json:"runs,omitempty"`
+}
+
+// Add adds what a broker counted.
+func (s *Summary) Add(m core.Moves, t slicemap.Stats) {
+	s.Caught += int(m.Caught)
+	s.Replaced += int(m.Replaced)
+	s.SplitParts += int(m.Split)
+	s.Moved += int(t.Moved)
+	s.Disagree += int(t.Disagree)
+	s.Refusals += int(t.Refused)
+}
+
+// Sum puts runs together: counts are added, worth and latencies are means, weighted by what was taken.
+func Sum(runs []Summary) Summary {
+	if len(runs) == 1 {
+		return runs[0]
+	}
+	out := Summary{}
+	if len(runs) == 0 {
+		return out
+	}
+	out.Name, out.Arm, out.Seed, out.Mode, out.Runs = runs[0].Name, runs[0].Arm, runs[0].Seed, runs[0].Mode, runs
+	o := reflect.ValueOf(&out).Elem()
+	for _, r := range runs {
+		addInts(o, reflect.ValueOf(r))
+		w := float64(r.Taken)
+		out.Worth += r.Worth * w
+		out.P50 += r.P50 * w
+		out.P99 += r.P99 * w
+		out.WallS += r.WallS
+		out.SimulatedS += r.SimulatedS
+		out.Notes = append(out.Notes, r.Notes[:min(len(r.Notes), 2)]...)
+	}
+	out.Notes = out.Notes[:min(len(out.Notes), 40)]
+	out.KeptMax = 0
+	for _, r := range runs {
+		out.KeptMax = max(out.KeptMax, r.KeptMax)
+	}
+	if n := float64(max(out.Taken, 1)); true {
+		out.Worth, out.P50, out.P99 = out.Worth/n, out.P50/n, out.P99/n
+	}
+	return out
+}
+
+func addInts(to, from reflect.Value) {
+	for i := range from.NumField() {
+		switch f := from.Field(i); f.Kind() {
+		case reflect.Int:
+			to.Field(i).SetInt(to.Field(i).Int() + f.Int())
+		case reflect.Struct:
+			addInts(to.Field(i), f)
+		}
+		if from.Type().Field(i).Name == "Reads" {
+			to.Field(i).SetUint(to.Field(i).Uint() + from.Field(i).Uint())
+		}
+	}
+}
+
+// Figures are the summary's numbers by name.
+func (s Summary) Figures() map[string]float64 {
+	s.Runs, s.Notes = nil, nil
+	text, _ := json.Marshal(s)
+	var all map[string]any
+	_ = json.Unmarshal(text, &all)
+	out := map[string]float64{}
+	for k, v := range all {
+		if x, ok := v.(float64); ok {
+			out[k] = x
+		}
+	}
+	return out
+}
+
+// Judge names the bounds that the summary does not keep, and the rules that were broken.
+func (s Summary) Judge(bounds map[string]exp.Bound) (passed int, faults []string) {
+	figures := s.Figures()
+	if n := s.Broken(); n > 0 {
+		faults = append(faults, fmt.Sprintf("rules were broken %d times: %s", n, strings.Join(s.Notes[:min(3, len(s.Notes))], "; ")))
+	} else {
+		passed++
+	}
+	names := make([]string, 0, len(bounds))
+	for name := range bounds {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		b := bounds[name]
+		x, known := figures[name]
+		switch {
+		case !known:
+			faults = append(faults, fmt.Sprintf("expect: %s is no figure of the summary", name))
+		case b.Min != nil && x < *b.Min:
+			faults = append(faults, fmt.Sprintf("%s is %v, %v at least", name, x, *b.Min))
+		case b.Max != nil && x > *b.Max:
+			faults = append(faults, fmt.Sprintf("%s is %v, %v at most", name, x, *b.Max))
+		default:
+			passed++
+		}
+	}
+	return passed, faults
+}
+
+// Table is the summary as a Markdown table, one row a figure.
+func (s Summary) Table() string {
+	figures := s.Figures()
+	names := make([]string, 0, len(figures))
+	for name := range figures {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "| %s, %s, %s, seed %d | |\n| --- | --- |\n", s.Name, s.Arm, s.Mode, s.Seed)
+	for _, name := range names {
+		if name != "seed" {
+			fmt.Fprintf(&b, "| %s | %v |\n", name, figures[name])
+		}
+	}
+	return b.String()
+}
+
+// Write keeps a summary in a folder: summary.json and a table in Markdown and CSV.
+func Write(dir string, s Summary) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return err
+	}
+	var csv strings.Builder
+	csv.WriteString("figure,value\n")
+	for _, line := range strings.Split(strings.TrimSpace(s.Table()), "\n")[2:] {
+		f := strings.Split(line, "|")
+		fmt.Fprintf(&csv, "%s,%s\n", strings.TrimSpace(f[1]), strings.TrimSpace(f[2]))
+	}
+	for name, data := range map[string][]byte{"summary.json": append(text, '\n'), "summary.md": []byte(s.Table()),
+		"summary.csv": []byte(csv.String())} {
+		if err := os.WriteFile(filepath.Join(dir, name), data, 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/sim/fleet.go
@@ -0,0 +1,438 @@
+package sim
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"ternstage/balance"
+	"ternstage/internal/core"
+	"ternstage/internal/lab/exp"
+	"ternstage/internal/lab/model"
+	"ternstage/internal/slicemap"
+)
+
+const (
+	keptVersions = 512    // of the truth, by which the client's old ideas and nodes are judged
+	keptRetired  = 1024   // that a whole map tells
+	keptChanges  = 4096   // that a watch may resume over; further back the whole map is told
+	lostAfter    = 5000.0 // ms beyond its wait after which a call without an answer has failed
+)
+
+// node is a node of the fleet.
+type node struct {
+	*model.Node
+	sim    *Sim
+	index  int
+	number uint32
+	state  balance.State
+	gen    int // of its process
+	taking int
+	busy   bool // in trouble
+}
+
+// listNews is one line of news of the list.
+type listNews struct {
+	node  *node
+	state balance.State
+}
+
+// stamped is a version of the truth and when it began.
+type stamped struct {
+	at float64
+	v  *slicemap.Version
+}
+
+// fleet is the nodes, the list of them, and the catalogue with the true map.
+type fleet struct {
+	sim     *Sim
+	nodes   []*node
+	byName  map[string]uint32
+	news    []listNews
+	truth   *slicemap.Map
+	past    []stamped
+	log     []slicemap.Change
+	waiting []func() // watches that wait for news
+	next    slicemap.ID
+	changes int
+	pace    slicemap.Pace
+	rnd     *rand.Rand // of changes, so that days with and without them have the same troubles
+}
+
+func newFleet(s *Sim, seed uint64) *fleet {
+	f := &fleet{sim: s, byName: map[string]uint32{}, truth: slicemap.New(slicemap.Options{}), next: s.e.Slices,
+		rnd:  rand.New(rand.NewPCG(seed, 4)),
+		pace: slicemap.Pace{AtOnce: 2, ColdFrom: s.e.Node.ColdFrom, Warm: s.e.Node.Warm}}
+	if _, err := f.truth.Reset(s.e.Map()); err != nil {
+		panic(err) // the experiment's own first map
+	}
+	f.past = []stamped{{0, f.truth.Current()}}
+	for i := range s.e.Nodes {
+		id := exp.NodeID(i)
+		f.byName[id] = uint32(i + 1)
+		f.nodes = append(f.nodes, &node{sim: s, index: i, number: uint32(i + 1), state: balance.Ready,
+			Node: model.New(id, s.e.NodeOptions(), f.truth.Current(), seed*1009+uint64(i))})
+	}
+	return f
+}
+
+func (f *fleet) start() {
+	s := f.sim
+	if s.e.Changes.Every > 0 {
+		s.at(s.now+2000, f.change)
+	}
+	if s.e.Troubles.Every > 0 && len(s.e.Troubles.Kinds) > 0 {
+		s.at(s.now+3000, f.trouble)
+	}
+}
+
+// seen is the map as it was at a time.
+func (f *fleet) seen(at float64) *slicemap.Version {
+	i := len(f.past) - 1
+	for i > 0 && f.past[i].at > at {
+		i--
+	}
+	return f.past[i].v
+}
+
+// apply makes a change of the truth and tells those who are to know. It tells whether the change can be.
+func (f *fleet) apply(c slicemap.Change) bool {
+	s := f.sim
+	cur := f.truth.Current()
+	c.Base, c.Epoch = cur.Epoch, cur.Epoch+1
+	if _, err := f.truth.Apply([]slicemap.Change{c}, nil); err != nil {
+		return false
+	}
+	f.changes++
+	v := f.truth.Current()
+	if f.past = append(f.past, stamped{s.now, v}); len(f.past) > keptVersions {
+		f.past = slices.Delete(f.past, 0, len(f.past)-keptVersions/2)
+	}
+	if f.log = append(f.log, c); len(f.log) > keptChanges {
+		f.log = slices.Delete(f.log, 0, len(f.log)-keptChanges/2)
+	}
+	for _, n := range f.nodes {
+		gen := n.gen
+		s.at(s.now+s.e.News.Node.Draw(s.net), func() {
+			if gen == n.gen {
+				n.Learn(v)
+			}
+		})
+	}
+	waiting := f.waiting
+	f.waiting = nil
+	for _, w := range waiting {
+		w()
+	}
+	return true
+}
+
+// asked is a call to the catalogue.
+func (f *fleet) asked(b *broker, call, gen int, c slicemap.Call) {
+	s := f.sim
+	fail := func() { b.news(call, gen, nil) }
+	if s.net.Float64() < s.e.News.Lost { // nothing ever comes
+		s.at(s.now+c.Wait+lostAfter, fail)
+		return
+	}
+	answered := false
+	answer := func() {
+		if answered {
+			return
+		}
+		answered = true
+		if f.out() {
+			s.at(s.now+s.hop(), fail)
+			return
+		}
+		take := f.answer(c)
+		s.at(s.now+s.e.News.Catalogue.Draw(s.net), func() { b.news(call, gen, take) })
+		if s.net.Float64() < s.e.News.Twice { // a copy of it comes later, out of its order
+			s.at(s.now+500+s.e.News.Catalogue.Draw(s.net), func() { b.news(call, gen, take) })
+		}
+	}
+	s.at(s.now+s.hop(), func() {
+		if f.out() || c.Whole || c.Wait == 0 || f.truth.Current().Epoch > c.Index {
+			answer()
+			return
+		}
+		f.waiting = append(f.waiting, answer)
+		s.at(s.now+c.Wait, answer)
+		for _, o := range s.e.News.Outages { // watches end when the catalogue goes down
+			if at := origin + o.At; at > s.now && at < s.now+c.Wait {
+				s.at(at, answer)
+			}
+		}
+	})
+}
+
+// out tells that the catalogue is down.
+func (f *fleet) out() bool {
+	for _, o := range f.sim.e.News.Outages {
+		if at := f.sim.now - origin; at >= o.At && at < o.At+o.For {
+			return true
+		}
+	}
+	return false
+}
+
+// answer is what the catalogue says at this moment. Now and then it is spoilt: the broker must refuse it.
+func (f *fleet) answer(c slicemap.Call) func(*core.Core) error {
+	s := f.sim
+	spoilt := s.net.Float64() < s.e.News.Spoilt
+	if i := slices.IndexFunc(f.log, func(x slicemap.Change) bool { return x.Base == c.Index }); !c.Whole &&
+		(i >= 0 || f.truth.Current().Epoch == c.Index) {
+		var cs []slicemap.Change
+		if i >= 0 {
+			if s.net.Float64() < s.e.News.Twice {
+				i = max(0, i-2) // what is known already comes along
+			}
+			cs = slices.Clone(f.log[i:])
+		}
+		if spoilt && len(cs) > 0 {
+			cs[len(cs)-1].Base++ // onto a base that it has not
+		}
+		return func(k *core.Core) error { return k.TakeChanges(cs, nil) }
+	}
+	v, retired := f.truth.Current(), f.truth.Retired(keptRetired)
+	return func(k *core.Core) error {
+		w := wholeOf(v, retired)
+		if spoilt {
+			w.Slices = w.Slices[1:] // a hole
+		}
+		return k.TakeMap(w)
+	}
+}
+
+// wholeOf is a version as it is told whole. Slices are copied: a map takes over what it is given.
+func wholeOf(v *slicemap.Version, retired []slicemap.Retiree) slicemap.Whole {
+	w := slicemap.Whole{Epoch: v.Epoch, Districts: v.Districts, Retired: retired,
+		Slices: make([]*slicemap.Slice, 0, v.Len())}
+	v.All(func(s *slicemap.Slice) bool {
+		x := *s
+		w.Slices = append(w.Slices, &x)
+		return true
+	})
+	return w
+}
+
+// change makes a change at random.
+func (f *fleet) change() {
+	s := f.sim
+	if s.now >= s.end {
+		return
+	}
+	s.at(s.now+s.e.Changes.Every*(0.5+f.rnd.Float64()), f.change)
+	c := s.e.Changes
+	for range 8 {
+		v := f.truth.Current()
+		at := v.At(f.rnd.IntN(v.Districts))
+		switch x := f.rnd.Float64() * (c.Split + c.Merge + c.Move); {
+		case x < c.Split:
+			if at.Size() >= 2 && f.apply(slicemap.Change{Kind: slicemap.Split, Slice: at.ID,
+				At: at.Lo + 1 + f.rnd.IntN(at.Size()-1), Into: []slicemap.ID{f.next, f.next + 1}}) {
+				f.next += 2
+				return
+			}
+		case x < c.Split+c.Merge:
+			for range 50 { // neighbours with the same holders are rare
+				if o := v.At(at.Hi); o != nil && f.apply(slicemap.Change{Kind: slicemap.Merge, Slice: at.ID, Other: o.ID,
+					Into: []slicemap.ID{f.next}}) {
+					f.next++
+					return
+				}
+				at = v.At(f.rnd.IntN(v.Districts))
+			}
+		default:
+			if f.move(at) {
+				return
+			}
+		}
+	}
+}
+
+// move begins to move a slice onto another node, at the pace that this can bear.
+func (f *fleet) move(at *slicemap.Slice) bool {
+	s := f.sim
+	to := f.nodes[f.rnd.IntN(len(f.nodes))]
+	from := at.Holders[f.rnd.IntN(len(at.Holders))]
+	holds, usual := 0, f.truth.Current().Districts*s.e.Reach/len(f.nodes)
+	if to.Cold(s.now) {
+		f.truth.Current().All(func(x *slicemap.Slice) bool {
+			if x.Executes(to.ID) {
+				holds += x.Size()
+			}
+			return true
+		})
+	}
+	if to.state != balance.Ready || !f.pace.May(s.now,
+		slicemap.Target{Started: to.Started, Holds: holds, Taking: to.taking}, at.Size(), usual) ||
+		!f.apply(slicemap.Change{Kind: slicemap.Move, Slice: at.ID, From: from, To: to.ID}) {
+		return false
+	}
+	to.taking++
+	r, abort := at.Range, f.rnd.Float64() < s.e.Changes.Abort
+	early := abort && f.rnd.IntN(2) == 0
+	s.at(s.now+s.e.Changes.Copy.Draw(f.rnd), func() {
+		if early || to.state == balance.Gone {
+			f.each(r, from, to.ID, slicemap.Abort)
+			to.taking--
+			return
+		}
+		f.each(r, from, to.ID, slicemap.Handover)
+		s.at(s.now+s.e.Changes.Handover.Draw(f.rnd), func() {
+			kind := slicemap.Done
+			if abort || to.state == balance.Gone { // the destination died before the end: back to the source
+				kind = slicemap.Abort
+			}
+			f.each(r, from, to.ID, kind)
+			to.taking--
+		})
+	})
+	return true
+}
+
+// each makes a change of the slices that hold districts and are being moved so: a split may have come between.
+func (f *fleet) each(r slicemap.Range, from, to string, kind slicemap.Kind) {
+	v := f.truth.Current()
+	for at := r.Lo; at < r.Hi; {
+		x := v.At(at)
+		if x.From == from && x.To == to {
+			f.apply(slicemap.Change{Kind: kind, Slice: x.ID})
+		}
+		at = x.Hi
+	}
+}
+
+// tell puts news of a node on the list; each broker hears of it late.
+func (f *fleet) tell(n *node, state balance.State) {
+	s := f.sim
+	n.state = state
+	f.news = append(f.news, listNews{n, state})
+	upTo := len(f.news)
+	for _, b := range s.brokers {
+		gen := b.gen
+		s.at(s.now+s.e.News.List.Draw(s.net), func() {
+			if gen == b.gen {
+				b.told(upTo)
+			}
+		})
+	}
+}
+
+// begun notes that a node has begun a part that ends at done.
+func (n *node) begun(j *model.Job, done float64) {
+	s, gen := n.sim, n.gen
+	s.check.Ran(n.ID, j.Query, j.Districts, j.Once, n.truly(j))
+	s.at(done, func() {
+		if gen != n.gen {
+			return
+		}
+		end, moved, next, then := n.Finish(s.now, j)
+		for _, m := range moved {
+			m.Context.(*flight).answer(model.Moved)
+		}
+		if end != model.None {
+			j.Context.(*flight).answer(end)
+		}
+		if next != nil {
+			n.begun(next, then)
+		}
+	})
+}
+
+// truly tells whether the node held a part's districts at its epoch, by the truth and not by its own word.
+func (n *node) truly(j *model.Job) bool {
+	s := n.sim
+	if s.e.Arm != exp.Follow && !s.Fault.Unfenced {
+		return true // nothing is fenced, and nodes turn away what they do not hold
+	}
+	i := slices.IndexFunc(s.fleet.past, func(p stamped) bool { return p.v.Epoch == j.View })
+	if i < 0 {
+		return true // too long ago to be judged
+	}
+	for at := j.Districts.Lo; at < j.Districts.Hi; {
+		x := s.fleet.past[i].v.At(at)
+		if !x.Executes(n.ID) {
+			return false
+		}
+		at = x.Hi
+	}
+	return true
+}
+
+// die ends a node's process: its connections are reset.
+func (f *fleet) die(n *node) {
+	s := f.sim
+	for _, j := range n.Kill() {
+		j.Done = true
+	}
+	n.gen++
+	for _, b := range s.brokers {
+		for _, x := range slices.Clone(b.out) {
+			if x.node == n && x.there {
+				x.gone()
+				x.ends(balance.Reset, nil)
+			}
+		}
+	}
+	f.tell(n, balance.Gone)
+}
+
+// back starts a node's process anew, cold.
+func (f *fleet) back(n *node) {
+	n.gen++
+	n.Restart(f.sim.now, f.truth.Current())
+	f.tell(n, balance.Ready)
+}
+
+// trouble lets something go wrong. As long as a part of the fleet is in trouble the rest is left alone, so that
+// most slices keep a sound holder.
+func (f *fleet) trouble() {
+	s := f.sim
+	if s.now >= s.end {
+		return
+	}
+	s.at(s.now+s.e.Troubles.Every*(0.5+s.world.Float64()), f.trouble)
+	kind := s.e.Troubles.Kinds[s.world.IntN(len(s.e.Troubles.Kinds))]
+	n, long := f.nodes[s.world.IntN(len(f.nodes))], s.e.Troubles.For.Draw(s.world)
+	if kind == "broker" {
+		b := s.brokers[s.world.IntN(len(s.brokers))]
+		if b.core == nil || len(s.brokers) < 2 || slices.ContainsFunc(s.brokers, func(x *broker) bool { return x.core == nil }) {
+			return
+		}
+		b.kill()
+		old := f.seen(s.now - 4000) // it comes back with a map that it kept
+		s.at(s.now+min(long, 2000), func() { b.start(old) })
+		return
+	}
+	busy := 0
+	for _, x := range f.nodes {
+		if x.busy {
+			busy++
+		}
+	}
+	if n.busy || n.Cold(s.now) || n.Fallen || busy > len(f.nodes)/6 {
+		return
+	}
+	n.busy = true
+	sound := func() {
+		n.busy = false
+		if n.Trouble != model.Down {
+			n.Trouble = model.Sound
+		}
+	}
+	switch kind {
+	case "down":
+		f.die(n)
+		s.at(s.now+long, func() { f.back(n); n.busy = false })
+	case "drain":
+		f.tell(n, balance.Draining)
+		wait := s.e.News.List[1] + 1200
+		s.at(s.now+wait, func() { n.Trouble = model.Drain })
+		s.at(s.now+wait+1500, func() { f.die(n) })
+		s.at(s.now+wait+1500+long, func() { f.back(n); n.busy = false })
+	default:
+		n.Trouble = map[string]model.Trouble{"hang": model.Hang, "slow": model.Slow, "fail": model.Fail}[kind]
+		s.at(s.now+long, sound)
+	}
+}
--- /dev/null
+++ b/internal/lab/sim/sim.go
@@ -0,0 +1,355 @@
+// Package sim plays an experiment in virtual time: the real core and decision module against the model of nodes,
+// with no socket and no sleep, many brokers in one process. One seed gives one history, on any machine.
+package sim
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ternstage/internal/core"
+	"ternstage/internal/lab/check"
+	"ternstage/internal/lab/exp"
+	"ternstage/internal/lab/model"
+	"ternstage/internal/lab/result"
+	"ternstage/internal/slicemap"
+)
+
+const (
+	origin   = 1e6    // ms: the clock at the start; 0 means long ago to some
+	tail     = 8000.0 // ms after the last arrival until all must be over
+	netLeast = 0.2    // ms one way
+	netMost  = 1.0
+	forget   = 30_000.0 // ms after which nothing of a query can come any more
+)
+
+// event is something that happens at a time; of one time, in the order in which it was set.
+type event struct {
+	at  float64
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	n := len(*h) - 1
+	x := (*h)[n]
+	(*h)[n] = event{}
+	*h = (*h)[:n]
+	return x
+}
+
+// Sim is one run.
+type Sim struct {
+	e     *exp.Experiment
+	now   float64
+	seq   uint64
+	queue events
+	dirty []*broker
+
+	// Each part of the world draws from a source of its own, so that arms of one day see the same clients.
+	load, net, world *rand.Rand
+
+	check   *check.Checker
+	fleet   *fleet
+	brokers []*broker
+	queries map[string]*query
+	byID    int
+	latency *hdrhistogram.Histogram
+	worth   [2]float64 // had, asked
+	stale   int
+	end     float64
+
+	// Fault is for tests of the checkers: it may spoil what happens.
+	Fault Fault
+}
+
+// Fault spoils a run on purpose, so that a checker can be seen to catch it.
+type Fault struct {
+	Unfenced    bool // nodes execute what they do not hold
+	LoseAnswer  bool // now and then an answer reaches nobody
+	MarkWhole   bool // answers are marked whole
+	DropHit     bool // an answer lacks its last value
+	OtherValue  bool // an answer has a value of another query
+	TwiceValue  bool // an answer has a value twice
+	IgnoreDrain bool // the module is not told of drains
+	RunAgain    bool // a part that timed out is sent again, whatever its class
+	Twin        bool // a part goes out twice at once
+}
+
+// New makes a run of an experiment.
+func New(e *exp.Experiment, seed uint64) *Sim {
+	s := &Sim{e: e, now: origin, load: rand.New(rand.NewPCG(seed, 1)), net: rand.New(rand.NewPCG(seed, 2)),
+		world: rand.New(rand.NewPCG(seed, 3)), check: check.New(), queries: map[string]*query{},
+		latency: hdrhistogram.New(1, 60_000_000, 3)}
+	s.fleet = newFleet(s, seed)
+	for i := range e.Brokers {
+		s.brokers = append(s.brokers, newBroker(s, i, seed))
+	}
+	s.end = origin + e.Seconds*1000
+	return s
+}
+
+// at sets what happens at a time.
+func (s *Sim) at(t float64, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{max(t, s.now), s.seq, do})
+}
+
+// hop is the time a message takes one way.
+func (s *Sim) hop() float64 { return netLeast + (netMost-netLeast)*s.net.Float64() }
+
+// Run plays it to the end. tick, if any, is called once for each simulated second.
+func (s *Sim) Run(tick func(second int, r result.Summary)) result.Summary {
+	began := time.Now()
+	s.fleet.start()
+	for _, b := range s.brokers {
+		b.start(nil)
+	}
+	s.at(s.now+1500, s.arrive) // brokers have a map and a list by then
+	next := s.now + 1000
+	for len(s.queue) > 0 {
+		if at := s.queue[0].at; at > s.end+tail {
+			break
+		} else if at > s.now {
+			s.turns()
+			if len(s.queue) == 0 || s.queue[0].at > at || s.queue[0].at < at {
+				continue
+			}
+			for tick != nil && at >= next {
+				tick(int((next-origin)/1000), s.Summary())
+				next += 1000
+			}
+			s.now = at
+		}
+		heap.Pop(&s.queue).(event).do()
+	}
+	r := s.Summary()
+	r.WallS = time.Since(began).Seconds()
+	return r
+}
+
+// turns ends the moment: every broker to which something happened decides once.
+func (s *Sim) turns() {
+	for len(s.dirty) > 0 {
+		list := s.dirty
+		s.dirty = nil
+		for _, b := range list {
+			b.dirty = false
+			if b.core != nil {
+				b.core.Turn()
+			}
+		}
+	}
+}
+
+// Summary is what is known so far.
+func (s *Sim) Summary() result.Summary {
+	r := result.Summary{Mode: "sim", Name: s.e.Name, Arm: s.e.Arm, Counts: s.check.Counts, Notes: s.check.Notes,
+		Changes: s.fleet.changes, Epochs: int(s.fleet.truth.Current().Epoch), Stale: s.stale,
+		P50: float64(s.latency.ValueAtQuantile(50)) / 1000, P99: float64(s.latency.ValueAtQuantile(99)) / 1000,
+		SimulatedS: (s.now - origin) / 1000, Slices: s.fleet.truth.Current().Len()}
+	if s.worth[1] > 0 {
+		r.Worth = math.Round(s.worth[0]/s.worth[1]*1e6) / 1e6
+	}
+	for _, b := range s.brokers {
+		r.KeptMax = max(r.KeptMax, b.most(), b.kept)
+		r.Add(b.moves, b.stats)
+		if b.core != nil {
+			r.Add(b.core.Moves(), b.m.Stats())
+			r.Reads += b.follow.Reads()
+			r.OpenEnd += b.core.Open()
+		}
+	}
+	return r
+}
+
+// query is what a client asked and what became of it. It implements core.Client.
+type query struct {
+	sim   *Sim
+	ask   *check.Ask
+	class exp.Class
+	work  []float64 // by part
+	due   float64   // when it was first to be sent
+	first bool
+	tries int
+	b     *broker
+	gen   int
+	over  bool
+	req   *core.Request
+}
+
+// arrive lets the next query come; arrivals do not wait for answers.
+func (s *Sim) arrive() {
+	if s.now >= s.end {
+		return
+	}
+	s.at(s.now+s.load.ExpFloat64()*1000/s.e.Rate, s.arrive)
+	x, i := s.load.Float64(), 0
+	for ; i < len(s.e.Classes)-1 && x >= s.e.Classes[i].Share; i++ {
+		x -= s.e.Classes[i].Share
+	}
+	c := s.e.Classes[i]
+	n := int(c.Parts[0]) + s.load.IntN(int(c.Parts[1]-c.Parts[0])+1)
+	// The client's own idea of the slices is old.
+	v := s.fleet.seen(s.now - s.e.Client.Draw(s.load))
+	at, sum := v.At(s.load.IntN(v.Districts)), 0.0
+	q := &query{sim: s, class: c, due: s.now, first: true, ask: &check.Ask{Class: i, Once: c.Once(), Floor: c.Floor,
+		Deadline: s.now + c.Deadline*(0.6+0.4*s.load.Float64())}}
+	for range min(n, v.Len()) {
+		w := 0.5 + s.load.Float64()
+		q.ask.Parts = append(q.ask.Parts, check.Part{Shard: at.ID, Weight: w, Districts: at.Range})
+		q.work = append(q.work, c.Work.Draw(s.load))
+		sum += w
+		at = v.At(at.Hi % v.Districts)
+	}
+	for i := range q.ask.Parts {
+		q.ask.Parts[i].Weight /= sum
+	}
+	s.worth[1] += c.Worth
+	s.send(q, v.Epoch)
+}
+
+// send gives a query to a broker that is up, if there is one.
+func (s *Sim) send(q *query, epoch uint64) {
+	s.byID++
+	first := s.byID
+	for i := range s.brokers {
+		if b := s.brokers[(first+i)%len(s.brokers)]; b.core != nil && b.ready() {
+			q.b, q.gen = b, b.gen
+			break
+		}
+	}
+	if q.b == nil {
+		return
+	}
+	q.ask.ID = fmt.Sprintf("q%08d", s.byID)
+	r := &core.Request{Name: q.ask.ID, Class: q.ask.Class, Deadline: q.ask.Deadline, Repeat: !q.first, Epoch: epoch,
+		Text: []byte("x"), Client: q}
+	for i, p := range q.ask.Parts {
+		r.Parts = append(r.Parts, core.Part{Shard: p.Shard, Weight: p.Weight, Hinted: true,
+			Cost: q.work[i] * (0.8 + 0.4*s.load.Float64())})
+	}
+	q.req = r
+	id := q.ask.ID
+	s.queries[id] = q
+	s.check.Asked(q.ask)
+	if err := q.b.core.Take(r); err != nil {
+		// It was not taken: the client reads the map anew and asks again, once.
+		s.check.Taken--
+		s.check.Void(id)
+		s.check.Over(id)
+		delete(s.queries, id)
+		if s.stale++; q.tries < 1 {
+			q.tries++
+			next, ask := *q, q.ask.Anew()
+			next.ask = ask
+			v := s.fleet.truth.Current()
+			for i, p := range ask.Parts {
+				now := v.At(p.Districts.Lo)
+				ask.Parts[i] = check.Part{Shard: now.ID, Weight: p.Weight, Districts: now.Range}
+			}
+			if distinct(ask.Parts) {
+				next.b = nil
+				s.send(&next, v.Epoch)
+			}
+		}
+		return
+	}
+	q.b.touch()
+	s.at(q.ask.Deadline+100, func() { s.check.Over(id) })
+	s.at(q.ask.Deadline+forget, func() {
+		delete(s.queries, id)
+		s.check.Forget(id)
+	})
+}
+
+func distinct(parts []check.Part) bool {
+	seen := map[int]bool{}
+	for _, p := range parts {
+		if seen[p.Shard] {
+			return false
+		}
+		seen[p.Shard] = true
+	}
+	return true
+}
+
+// Finish implements core.Client.
+func (q *query) Finish(a core.Answer) {
+	s, id := q.sim, q.ask.ID
+	if q.over || q.gen != q.b.gen {
+		return
+	}
+	if s.Fault.LoseAnswer && s.byID%50 == 0 {
+		return
+	}
+	q.over = true
+	switch a.Kind {
+	case core.Refused:
+		s.check.Refusal(s.now, id)
+		q.again(a.RetryAfter)
+	case core.Failed:
+		s.check.Failure(s.now, id)
+	default:
+		hits := make([]check.Hit, 0, len(a.Values))
+		for _, v := range a.Values {
+			hits = append(hits, check.Hit{Shard: v.Shard, Districts: v.Districts, Doc: string(v.Doc)})
+		}
+		if n := len(hits); n > 0 {
+			switch {
+			case s.Fault.DropHit:
+				hits = hits[:n-1]
+			case s.Fault.OtherValue:
+				hits[n-1].Doc = model.Value("q0", hits[n-1].Districts)
+			case s.Fault.TwiceValue:
+				hits = append(hits, hits[n-1])
+			}
+		}
+		share := s.check.Answer(s.now, id, a.Whole || s.Fault.MarkWhole, hits)
+		_ = s.latency.RecordValue(int64((s.now - q.due) * 1000))
+		worth := q.class.Worth
+		if share < 1-1e-4 {
+			worth *= q.class.Partial * share
+		}
+		if s.now > q.due+q.class.Aim {
+			worth *= q.class.Late
+		}
+		s.worth[0] += worth
+	}
+}
+
+// again asks once more after a refusal, as a client does: its time counts from the first try.
+func (q *query) again(after float64) {
+	s := q.sim
+	at := s.now + max(after, 1)
+	if q.tries >= s.e.Retries || at >= q.due+q.class.Deadline {
+		return
+	}
+	next, ask := *q, q.ask.Anew()
+	next.ask, next.first, next.over, next.b = ask, false, false, nil
+	next.tries++
+	ask.Deadline = q.due + q.class.Deadline
+	s.at(at, func() { s.send(&next, 0) })
+}
+
+// workOf is the work of districts of a query.
+func (q *query) workOf(r slicemap.Range) float64 {
+	for i, p := range q.ask.Parts {
+		if p.Districts.Holds(r) {
+			return q.work[i] * float64(r.Size()) / float64(p.Districts.Size())
+		}
+	}
+	return 1
+}
--- a/internal/slicemap/map.go
+++ b/internal/slicemap/map.go
@@ -89,6 +89,13 @@
 	Districts int
 	Nodes     []string // all that may hold slices; empty: any
 	Slices    []*Slice
+	Retired   []Retiree // slices that are no more, by which old names are understood; the latest last
+}
+
+// Retiree is a slice that is no more.
+type Retiree struct {
+	ID ID
+	Range
 }
 
 // Reset takes a whole map, or refuses it and stays as it was. It gives the slices that are in it no more. A map
@@ -122,6 +129,11 @@
 			return nil, fault(s.ID, ErrSlice, "the id is not above %d, and is no slice's in use", m.highest)
 		}
 	}
+	for _, r := range w.Retired {
+		if r.ID < 0 || v.Slice(r.ID) != nil || r.Lo < 0 || r.Hi <= r.Lo || r.Hi > w.Districts {
+			return nil, fault(r.ID, ErrRange, "retired, with %v", r.Range)
+		}
+	}
 	var gone []*Slice
 	m.cur.All(func(s *Slice) bool {
 		if v.Slice(s.ID) == nil {
@@ -134,11 +146,16 @@
 	v.All(func(s *Slice) bool { m.join(s); return true })
 	was.All(func(s *Slice) bool { m.leave(s); return true })
 	for _, s := range gone {
-		m.retire(s)
+		m.retire(s.ID, s.Range)
+	}
+	for _, r := range w.Retired {
+		m.retire(r.ID, r.Range)
 	}
 	m.now = make(map[ID]*Slice, len(w.Slices))
 	for _, s := range w.Slices {
-		m.now[s.ID] = s
+		if m.now[s.ID] = s; s.Since == 0 || s.Since > w.Epoch {
+			s.Since = w.Epoch
+		}
 		m.highest = max(m.highest, s.ID) // new ids are above all older ones, so the highest is always in use
 	}
 	m.stats.Wholes++
@@ -204,7 +221,7 @@
 	for _, s := range e.retired {
 		leave(s.ID)
 		delete(m.now, s.ID)
-		m.retire(s)
+		m.retire(s.ID, s.Range)
 		retired = append(retired, s.ID)
 	}
 	m.highest = highest
@@ -239,12 +256,12 @@
 }
 
 // retire remembers the districts of a slice, so that who still names it is understood.
-func (m *Map) retire(s *Slice) {
-	if _, ok := m.history[s.ID]; ok {
+func (m *Map) retire(id ID, r Range) {
+	if _, ok := m.history[id]; ok {
 		return
 	}
-	m.history[s.ID] = s.Range
-	m.order = append(m.order, s.ID)
+	m.history[id] = r
+	m.order = append(m.order, id)
 	for len(m.order) > m.o.History {
 		delete(m.history, m.order[0])
 		m.order = m.order[1:]
@@ -310,6 +327,16 @@
 // Slice is a slice of the version in use by its id; nil if there is none, or no more.
 func (m *Map) Slice(id ID) *Slice { return m.now[id] }
 
+// Retired are the slices that are no more and are still understood, the latest last, most at most.
+func (m *Map) Retired(most int) []Retiree {
+	from := max(0, len(m.order)-most)
+	out := make([]Retiree, 0, len(m.order)-from)
+	for _, id := range m.order[from:] {
+		out = append(out, Retiree{id, m.history[id]})
+	}
+	return out
+}
+
 // Group numbers the set of nodes that may be sent a slice's parts; -1 if there is no such slice. It is part of
 // what the decision module asks; so are the methods below.
 func (m *Map) Group(id ID) int {
--- a/internal/slicemap/track.go
+++ b/internal/slicemap/track.go
@@ -38,23 +38,32 @@
 	Read  uint64  // the source knows an epoch as new as this: read it; 0 for no need
 }
 
+// Routed is the epoch that a leg carries when it goes out: that of its slice's last change, so that a node which
+// is behind with news of other slices is not taken to be behind with this one.
+func (m *Map) Routed(l Leg) uint64 {
+	if s := m.now[l.Slice]; s != nil {
+		return s.Since
+	}
+	return m.cur.Epoch
+}
+
 // AfterMoved decides on a leg that was routed by one epoch and refused by a node at another, for the n-th time
 // in a row, from 1. The module's own choice puts a node that was tried last.
-func (m *Map) AfterMoved(routed, node uint64, n int) Wait {
+func (m *Map) AfterMoved(l Leg, routed, node uint64, n int) Wait {
 	m.stats.Moved++
 	pause := min(pauseLate*float64(int(1)<<min(max(n-1, 0), 10)), pauseMost)
 	switch {
+	case m.now[l.Slice] == nil || m.Routed(l) != routed:
+		return Wait{} // the map has moved on since the leg went out: the next try goes by it
 	case node > m.cur.Epoch:
 		// We are late. What the node knows ends the wait; guards against a crowd of tries by an old map.
 		m.stats.MapLate++
 		return Wait{Pause: lateMost, Until: node, Read: node}
-	case routed < m.cur.Epoch:
-		return Wait{} // the map has moved on since the leg went out: the next try goes by it
 	case node < routed:
 		m.stats.NodeLate++
-		return Wait{Pause: pause}
+	default:
+		m.stats.Disagree++
 	}
-	m.stats.Disagree++
 	return Wait{Pause: pause}
 }
 
