--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	path       = "/catalog/slices"
-	dialMost   = 1000.0 // ms
-	answerMost = 5000.0 // ms beyond the wait: a call without an answer by then has failed
+	path     = "/catalog/slices"
+	dialMost = 1000.0 // ms
 )
 
 // Sink takes what the catalogue says. An error tells that it was refused, whole.
@@ -45,6 +44,7 @@
 	up     bool
 	out    bool    // a call is out on the connection
 	by     float64 // until when it may take
+	most   float64 // ms that it may take once it is sent
 	served int
 	timer  *loop.Timer
 }
@@ -91,7 +91,7 @@
 
 func (s *Source) call(c slicemap.Call) {
 	now := s.loop.Now()
-	s.by = now + c.Wait + answerMost
+	s.by, s.most = now+c.Most, c.Most
 	if s.s == nil {
 		fd, err := loop.Connect(s.o.Address)
 		if err == nil {
@@ -102,7 +102,7 @@
 			return
 		}
 		s.up = false
-		s.by = now + dialMost + c.Wait
+		s.by = now + dialMost
 	}
 	target := path
 	if !c.Whole {
@@ -140,7 +140,7 @@
 			return
 		}
 		s.up = true
-		s.by += answerMost
+		s.by = s.loop.Now() + s.most
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		eof, err := s.s.Read(s.o.Most + 16<<10)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -271,7 +271,11 @@
 	// The stated limit of queries and parts held: beyond it the module does not see the query. No more does it
 	// before the first map.
 	if c.maxOpen > 0 && c.open+1+count > c.maxOpen || count == 0 {
-		c.end(r, Answer{Kind: Refused, RetryAfter: c.retry})
+		after := c.retry
+		if count == 0 {
+			after = min(after, behindFor)
+		}
+		c.end(r, Answer{Kind: Refused, RetryAfter: after})
 		return nil
 	}
 	c.nextID++
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -11,6 +11,10 @@
 
 // How core carries requests while slices move. What may go where, and what of it is in, the slice map decides.
 
+// behindFor is in how many ms a client may come again whose map is newer than ours: a read of the map on a hint takes
+// less.
+const behindFor = 100.0
+
 // unit is a part as its client named it.
 type unit struct {
 	Part
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -35,6 +35,7 @@
 	Refusals   int       `json:"maps_refused"`
 	Reads      uint64    `json:"hint_reads"`
 	Stale      int       `json:"stale_requests"`
+	Behind     int       `json:"behind_requests"` // named slices of a newer map than the broker's
 	OpenEnd    int       `json:"open_at_end"`
 	P50        float64   `json:"p50_ms"`
 	P99        float64   `json:"p99_ms"`
@@ -50,6 +51,7 @@
 	s.Caught += int(m.Caught)
 	s.Replaced += int(m.Replaced)
 	s.SplitParts += int(m.Split)
+	s.Behind += int(m.Behind)
 	s.Moved += int(t.Moved)
 	s.Disagree += int(t.Disagree)
 	s.Refusals += int(t.Refused)
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/sim/fleet.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	keptVersions = 512    // of the truth, by which the client's old ideas and nodes are judged
-	keptRetired  = 1024   // that a whole map tells
-	keptChanges  = 4096   // that a watch may resume over; further back the whole map is told
-	lostAfter    = 5000.0 // ms beyond its wait after which a call without an answer has failed
+	keptVersions = 512  // of the truth, by which the client's old ideas and nodes are judged
+	keptRetired  = 1024 // that a whole map tells
+	keptChanges  = 4096 // that a watch may resume over; further back the whole map is told
 )
 
 // node is a node of the fleet.
@@ -85,8 +84,13 @@
 	}
 }
 
-// seen is the map as it was at a time.
+// seen is the map as it could be read from the catalogue at a time: while that is down, as it was before.
 func (f *fleet) seen(at float64) *slicemap.Version {
+	for _, o := range f.sim.e.News.Outages {
+		if past := at - origin; past >= o.At && past < o.At+o.For {
+			at = origin + o.At
+		}
+	}
 	i := len(f.past) - 1
 	for i > 0 && f.past[i].at > at {
 		i--
@@ -131,7 +135,7 @@
 	s := f.sim
 	fail := func() { b.news(call, gen, nil) }
 	if s.net.Float64() < s.e.News.Lost { // nothing ever comes
-		s.at(s.now+c.Wait+lostAfter, fail)
+		s.at(s.now+c.Most, fail)
 		return
 	}
 	answered := false
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -84,7 +84,7 @@
 	OtherValue  bool // an answer has a value of another query
 	TwiceValue  bool // an answer has a value twice
 	IgnoreDrain bool // the module is not told of drains
-	RunAgain    bool // a part that timed out is sent again, whatever its class
+	HideStart   bool // brokers are not told of starts
 	Twin        bool // a part goes out twice at once
 }
 
--- a/internal/slicemap/follow.go
+++ b/internal/slicemap/follow.go
@@ -19,9 +19,15 @@
 	Whole bool    // the whole map; else what changed since Index
 	Index uint64  // the epoch in use
 	Wait  float64 // ms that the source may wait for news; 0: it answers at once
+	Most  float64 // ms after which the call has failed
 	Cut   bool    // a call is out: it is given up for this one
 }
 
+const (
+	wholeMost = 5000.0 // ms that the whole map may take
+	deltaMost = 1000.0 // ms that changes may take, beyond the wait
+)
+
 // Follow decides when a source of the map is asked and for what: a watch that goes on, the whole map where a
 // change could not be applied, a growing delay after failures, and one read at once, for all who tell of a newer
 // map together. One call is out at a time. It has no clock and no I/O.
@@ -76,8 +82,9 @@
 		c.Wait, f.lastHit = 0, now
 		f.reads++
 	}
+	c.Most = c.Wait + deltaMost
 	if c.Whole {
-		c.Wait = 0
+		c.Wait, c.Most = 0, wholeMost
 	}
 	f.out, f.waits = true, c.Wait > 0
 	return c, true
--- a/internal/slicemap/track.go
+++ b/internal/slicemap/track.go
@@ -26,9 +26,9 @@
 }
 
 const (
-	lateMost  = 400.0 // ms that a leg waits for the epoch a node told of, before other holders are tried
-	pauseLate = 10.0  // ms before the next try where the node was late: another holder may know
-	pauseMost = 160.0 // ms: pauses at one epoch double up to this
+	lateMost  = 400.0 // ms that a leg waits for the epoch a node told of, once every holder was asked
+	pauseLate = 10.0  // ms before the next try where the nodes are late, once every holder was asked
+	pauseMost = 160.0 // ms: such pauses double up to this
 )
 
 // Wait is what follows on a node's word that it does not hold the districts of a leg.
@@ -51,20 +51,30 @@
 // in a row, from 1. The module's own choice puts a node that was tried last.
 func (m *Map) AfterMoved(l Leg, routed, node uint64, n int) Wait {
 	m.stats.Moved++
-	pause := min(pauseLate*float64(int(1)<<min(max(n-1, 0), 10)), pauseMost)
-	switch {
-	case m.now[l.Slice] == nil || m.Routed(l) != routed:
+	s := m.now[l.Slice]
+	if s == nil || s.Since != routed {
 		return Wait{} // the map has moved on since the leg went out: the next try goes by it
+	}
+	// A move takes one holder of several: the others are asked at once, and only then is there something to wait
+	// for. Guards a leg against a pause that costs it its aim.
+	rest := n - len(s.Holders)
+	w := Wait{}
+	if rest >= 0 {
+		w.Pause = min(pauseLate*float64(int(1)<<min(rest, 10)), pauseMost)
+	}
+	switch {
 	case node > m.cur.Epoch:
 		// We are late. What the node knows ends the wait; guards against a crowd of tries by an old map.
 		m.stats.MapLate++
-		return Wait{Pause: lateMost, Until: node, Read: node}
+		if w.Read = node; rest >= 0 {
+			w.Pause, w.Until = lateMost, node
+		}
 	case node < routed:
 		m.stats.NodeLate++
 	default:
 		m.stats.Disagree++
 	}
-	return Wait{Pause: pause}
+	return w
 }
 
 // Unit is one part as its client asked for it: districts that are in only together.
