Lab: the same world live on loopback, against the built broker over frames and Flight

Need: what holds in virtual time must hold on sockets, against the program as it is built. Change: nodes, the list, the catalogue and open-loop clients of the lab stand behind real sockets, driven by the same events in real time; brokers are processes that are killed and started again.

--- a/cmd/ternlab/main.go
+++ b/cmd/ternlab/main.go
@@ -2,17 +2,20 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"ternstage/internal/lab/exp"
 	"ternstage/internal/lab/result"
-	"ternstage/internal/lab/sim"
+	"ternstage/internal/lab/world"
 )
 
 func main() {
@@ -28,7 +31,7 @@
 func runCommand() *cobra.Command {
 	var seed uint64
 	var runs int
-	var mode, out string
+	var mode, out, binary, wire string
 	var vars []string
 	c := &cobra.Command{Use: "run FILE", Short: "Play an experiment and check the rules", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
@@ -36,10 +39,17 @@
 			if err != nil {
 				return err
 			}
-			if mode != "sim" {
-				return fmt.Errorf("--mode %s: sim", mode)
+			var s result.Summary
+			switch mode {
+			case "sim":
+				s = play(c, e, seed, runs)
+			case "live":
+				if s, err = playLive(c, e, seed, binary, wire); err != nil {
+					return err
+				}
+			default:
+				return fmt.Errorf("--mode %s: sim or live", mode)
 			}
-			s := play(c, e, seed, runs)
 			if out != "" {
 				if err := result.Write(out, s); err != nil {
 					return err
@@ -58,7 +68,9 @@
 		}}
 	c.Flags().Uint64Var(&seed, "seed", 1, "the first seed")
 	c.Flags().IntVar(&runs, "runs", 1, "so many seeds, from the first on")
-	c.Flags().StringVar(&mode, "mode", "sim", "sim: virtual time")
+	c.Flags().StringVar(&mode, "mode", "sim", "sim: virtual time; live: the built broker on loopback")
+	c.Flags().StringVar(&binary, "binary", "bin/ternstage", "live: the broker")
+	c.Flags().StringVar(&wire, "wire", "frames", "live: frames (and HTTP/1.1 to clients) or flight")
 	c.Flags().StringVar(&out, "out", "", "folder for summary.json, tables and charts")
 	c.Flags().StringArrayVar(&vars, "var", nil, "NAME=VALUE: an external variable of the experiment")
 	c.SetOut(os.Stdout)
@@ -97,11 +109,10 @@
 			defer func() { <-slots }()
 			tick := func(second int, r result.Summary) {
 				if len(all) == 1 && second%10 == 0 {
-					c.PrintErrf("%4d s: %d taken, %d answered, %d refused, %d failed, %d changes, worth %.3f\n", second, r.Taken,
-						r.Answered, r.Refused, r.Failed, r.Changes, r.Worth)
+					line(c, second, r)
 				}
 			}
-			s := sim.New(e, seed+uint64(i)).Run(tick)
+			s := world.New(e, seed+uint64(i)).Run(tick)
 			s.Seed = seed + uint64(i)
 			all[i] = s
 			mu.Lock()
@@ -114,3 +125,37 @@
 	wg.Wait()
 	return result.Sum(all)
 }
+
+// playLive plays one seed against the built program.
+func playLive(c *cobra.Command, e *exp.Experiment, seed uint64, binary, wire string) (result.Summary, error) {
+	if wire != "frames" && wire != "flight" {
+		return result.Summary{}, fmt.Errorf("--wire %s: frames or flight", wire)
+	}
+	dir, err := os.MkdirTemp("", "ternlab")
+	if err != nil {
+		return result.Summary{}, err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s, err := world.New(e, seed).RunLive(ctx, world.LiveOptions{Binary: binary, Dir: dir, Flight: wire == "flight"},
+		func(second int, r result.Summary) {
+			if second%5 == 0 {
+				line(c, second, r)
+			}
+		})
+	s.Seed = seed
+	if err != nil {
+		return s, fmt.Errorf("%w (logs in %s)", err, dir)
+	}
+	if s.Broken() > 0 {
+		c.PrintErrln("the brokers' logs are in", dir)
+		return s, nil
+	}
+	return s, os.RemoveAll(dir)
+}
+
+// line is a line of progress.
+func line(c *cobra.Command, second int, r result.Summary) {
+	c.PrintErrf("%4d s: %d taken, %d answered, %d refused, %d failed, p50 %.0f ms, p99 %.0f ms, %d changes, worth %.3f\n",
+		second, r.Taken, r.Answered, r.Refused, r.Failed, r.P50, r.P99, r.Changes, r.Worth)
+}
--- /dev/null
+++ b/internal/lab/world/clients.go
@@ -0,0 +1,189 @@
+package world
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"ternstage/internal/core"
+	"ternstage/internal/slicemap"
+)
+
+// ending is how a call of a client ended, beside its answer.
+type ending int
+
+const (
+	endAnswer ending = iota
+	endStale         // it was not taken: the slices that it names are not understood
+	endGone          // there was no answer
+)
+
+// client asks one broker over one wire.
+type client interface {
+	ask(ctx context.Context, id, class string, wait time.Duration, r *core.Request) (core.Answer, ending)
+	close()
+}
+
+type shardBody struct {
+	Shard  int     `json:"shard"`
+	Weight float64 `json:"weight"`
+	Cost   float64 `json:"cost"` // us
+}
+
+// bodyOf is a query as clients send it.
+func bodyOf(r *core.Request) string {
+	b := struct {
+		Shards []shardBody `json:"shards"`
+		Q      string      `json:"q"`
+		Epoch  uint64      `json:"epoch,omitempty"`
+	}{Q: string(r.Text), Epoch: r.Epoch}
+	for _, p := range r.Parts {
+		b.Shards = append(b.Shards, shardBody{p.Shard, p.Weight, p.Cost * 1000})
+	}
+	text, _ := json.Marshal(b)
+	return string(text)
+}
+
+type httpClient struct {
+	addr string
+	c    *http.Client
+}
+
+func newHTTPClient(addr string) *httpClient {
+	return &httpClient{addr, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64,
+		IdleConnTimeout: 2 * time.Second}}}
+}
+
+func (h *httpClient) close() { h.c.CloseIdleConnections() }
+
+func (h *httpClient) ask(ctx context.Context, id, class string, wait time.Duration, q *core.Request) (core.Answer,
+	ending) {
+	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+h.addr+"/"+class, strings.NewReader(bodyOf(q)))
+	if err != nil {
+		return core.Answer{}, endGone
+	}
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Class", class)
+	r.Header.Set("X-Deadline", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+	if q.Repeat {
+		r.Header.Set("X-Retry", "1")
+	}
+	a, err := h.c.Do(r)
+	if err != nil {
+		return core.Answer{}, endGone
+	}
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
+	if err != nil {
+		return core.Answer{}, endGone
+	}
+	switch a.StatusCode {
+	case http.StatusOK:
+	case http.StatusBadRequest:
+		return core.Answer{}, endStale
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		after, _ := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
+		return core.Answer{Kind: core.Refused, RetryAfter: after * 1000}, endAnswer
+	default:
+		return core.Answer{Kind: core.Failed}, endAnswer
+	}
+	var b struct {
+		Complete bool
+		Hits     []struct {
+			Shard     int
+			Doc       string
+			Districts [2]int
+		}
+	}
+	if json.Unmarshal(text, &b) != nil {
+		return core.Answer{}, endGone
+	}
+	out := core.Answer{Whole: b.Complete}
+	for _, x := range b.Hits {
+		out.Values = append(out.Values, core.Value{Shard: x.Shard, Doc: []byte(x.Doc),
+			Districts: slicemap.Range{Lo: x.Districts[0], Hi: x.Districts[1]}})
+	}
+	return out, endAnswer
+}
+
+type flightClient struct {
+	cc *grpc.ClientConn
+	c  flight.Client
+}
+
+func newFlightClient(addr string) (*flightClient, error) {
+	cc, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(), grpc.WithDisableRetry())
+	if err != nil {
+		return nil, err
+	}
+	return &flightClient{cc, flight.NewClientFromConn(cc, nil)}, nil
+}
+
+func (f *flightClient) close() { _ = f.cc.Close() }
+
+func (f *flightClient) ask(ctx context.Context, id, class string, wait time.Duration, q *core.Request) (core.Answer,
+	ending) {
+	ctx, cancel := context.WithTimeout(ctx, wait+60*time.Millisecond) // so that the broker's word comes first
+	defer cancel()
+	ctx = metadata.AppendToOutgoingContext(ctx, "x-request-id", id, "x-class", class)
+	if q.Repeat {
+		ctx = metadata.AppendToOutgoingContext(ctx, "x-retry", "1")
+	}
+	f.cc.ResetConnectBackoff()
+	s, err := f.c.DoGet(ctx, &flight.Ticket{Ticket: []byte(bodyOf(q))}, grpc.WaitForReady(true))
+	if err != nil {
+		return flightEnd(err)
+	}
+	r, err := flight.NewRecordReader(s)
+	if err != nil {
+		return flightEnd(err)
+	}
+	defer r.Release()
+	whole, _ := r.Schema().Metadata().GetValue("complete")
+	out := core.Answer{Whole: whole == "true"}
+	for r.Next() {
+		rec := r.RecordBatch()
+		for i := range int(rec.NumRows()) {
+			out.Values = append(out.Values, core.Value{Shard: int(rec.Column(0).(*array.Int32).Value(i)),
+				Doc: append([]byte(nil), rec.Column(1).(*array.Binary).Value(i)...),
+				Districts: slicemap.Range{Lo: int(rec.Column(2).(*array.Int32).Value(i)),
+					Hi: int(rec.Column(3).(*array.Int32).Value(i))}})
+		}
+	}
+	if r.Err() != nil {
+		return flightEnd(r.Err())
+	}
+	return out, endAnswer
+}
+
+func flightEnd(err error) (core.Answer, ending) {
+	st := status.Convert(err)
+	switch st.Code() {
+	case codes.InvalidArgument:
+		return core.Answer{}, endStale
+	case codes.Unavailable:
+		for _, d := range st.Details() {
+			if i, ok := d.(*errdetails.RetryInfo); ok {
+				return core.Answer{Kind: core.Refused, RetryAfter: float64(i.RetryDelay.AsDuration()) / 1e6}, endAnswer
+			}
+		}
+		return core.Answer{}, endGone
+	case codes.Internal, codes.DeadlineExceeded:
+		return core.Answer{Kind: core.Failed}, endAnswer
+	}
+	return core.Answer{}, endGone
+}
--- a/internal/lab/sim/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -1,11 +1,10 @@
-package sim
+package world
 
 import (
 	"math/rand/v2"
 	"slices"
 
 	"ternstage/balance"
-	"ternstage/internal/core"
 	"ternstage/internal/lab/exp"
 	"ternstage/internal/lab/model"
 	"ternstage/internal/slicemap"
@@ -20,19 +19,27 @@
 // node is a node of the fleet.
 type node struct {
 	*model.Node
-	sim    *Sim
+	sim    *World
 	index  int
 	number uint32
 	state  balance.State
 	gen    int // of its process
 	taking int
 	busy   bool // in trouble
+	wire   wire // live: its sockets
+}
+
+// wire is a live node's listener and connections.
+type wire interface {
+	down() // they end, as with their process
+	back()
 }
 
 // listNews is one line of news of the list.
 type listNews struct {
-	node  *node
-	state balance.State
+	node    *node
+	state   balance.State
+	started float64
 }
 
 // stamped is a version of the truth and when it began.
@@ -43,7 +50,7 @@
 
 // fleet is the nodes, the list of them, and the catalogue with the true map.
 type fleet struct {
-	sim     *Sim
+	sim     *World
 	nodes   []*node
 	byName  map[string]uint32
 	news    []listNews
@@ -57,7 +64,7 @@
 	rnd     *rand.Rand // of changes, so that days with and without them have the same troubles
 }
 
-func newFleet(s *Sim, seed uint64) *fleet {
+func newFleet(s *World, seed uint64) *fleet {
 	f := &fleet{sim: s, byName: map[string]uint32{}, truth: slicemap.New(slicemap.Options{}), next: s.e.Slices,
 		rnd:  rand.New(rand.NewPCG(seed, 4)),
 		pace: slicemap.Pace{AtOnce: 2, ColdFrom: s.e.Node.ColdFrom, Warm: s.e.Node.Warm}}
@@ -130,10 +137,18 @@
 	return true
 }
 
-// asked is a call to the catalogue.
-func (f *fleet) asked(b *broker, call, gen int, c slicemap.Call) {
+// told is what the catalogue answers: a whole map, or changes.
+type told struct {
+	v       *slicemap.Version // nil for changes
+	retired []slicemap.Retiree
+	changes []slicemap.Change
+	epoch   uint64
+	spoilt  bool // the broker must refuse it
+}
+
+// asked is a call to the catalogue. deliver may come twice, or never; fail tells that the call came to nothing.
+func (f *fleet) asked(c slicemap.Call, fail func(), deliver func(told)) {
 	s := f.sim
-	fail := func() { b.news(call, gen, nil) }
 	if s.net.Float64() < s.e.News.Lost { // nothing ever comes
 		s.at(s.now+c.Most, fail)
 		return
@@ -149,9 +164,9 @@
 			return
 		}
 		take := f.answer(c)
-		s.at(s.now+s.e.News.Catalogue.Draw(s.net), func() { b.news(call, gen, take) })
+		s.at(s.now+s.e.News.Catalogue.Draw(s.net), func() { deliver(take) })
 		if s.net.Float64() < s.e.News.Twice { // a copy of it comes later, out of its order
-			s.at(s.now+500+s.e.News.Catalogue.Draw(s.net), func() { b.news(call, gen, take) })
+			s.at(s.now+500+s.e.News.Catalogue.Draw(s.net), func() { deliver(take) })
 		}
 	}
 	s.at(s.now+s.hop(), func() {
@@ -180,31 +195,34 @@
 }
 
 // answer is what the catalogue says at this moment. Now and then it is spoilt: the broker must refuse it.
-func (f *fleet) answer(c slicemap.Call) func(*core.Core) error {
+func (f *fleet) answer(c slicemap.Call) told {
 	s := f.sim
-	spoilt := s.net.Float64() < s.e.News.Spoilt
-	if i := slices.IndexFunc(f.log, func(x slicemap.Change) bool { return x.Base == c.Index }); !c.Whole &&
-		(i >= 0 || f.truth.Current().Epoch == c.Index) {
-		var cs []slicemap.Change
-		if i >= 0 {
-			if s.net.Float64() < s.e.News.Twice {
-				i = max(0, i-2) // what is known already comes along
-			}
-			cs = slices.Clone(f.log[i:])
-		}
-		if spoilt && len(cs) > 0 {
-			cs[len(cs)-1].Base++ // onto a base that it has not
+	cur := f.truth.Current()
+	t := told{epoch: cur.Epoch, spoilt: s.net.Float64() < s.e.News.Spoilt}
+	i := slices.IndexFunc(f.log, func(x slicemap.Change) bool { return x.Base == c.Index })
+	if c.Whole || i < 0 && cur.Epoch != c.Index {
+		t.v, t.retired = cur, f.truth.Retired(keptRetired)
+		return t
+	}
+	if i >= 0 {
+		if s.net.Float64() < s.e.News.Twice {
+			i = max(0, i-2) // what is known already comes along
 		}
-		return func(k *core.Core) error { return k.TakeChanges(cs, nil) }
+		t.changes = slices.Clone(f.log[i:])
 	}
-	v, retired := f.truth.Current(), f.truth.Retired(keptRetired)
-	return func(k *core.Core) error {
-		w := wholeOf(v, retired)
-		if spoilt {
-			w.Slices = w.Slices[1:] // a hole
-		}
-		return k.TakeMap(w)
+	if n := len(t.changes); n > 0 && t.spoilt {
+		t.changes[n-1].Base++ // onto a base that it has not
 	}
+	return t
+}
+
+// whole is a whole map as it is told.
+func (t told) whole() slicemap.Whole {
+	w := wholeOf(t.v, t.retired)
+	if t.spoilt {
+		w.Slices = w.Slices[1:] // a hole
+	}
+	return w
 }
 
 // wholeOf is a version as it is told whole. Slices are copied: a map takes over what it is given.
@@ -311,18 +329,38 @@
 func (f *fleet) tell(n *node, state balance.State) {
 	s := f.sim
 	n.state = state
-	f.news = append(f.news, listNews{n, state})
+	f.news = append(f.news, listNews{n, state, n.Started})
 	upTo := len(f.news)
 	for _, b := range s.brokers {
-		gen := b.gen
+		gen := b.process()
 		s.at(s.now+s.e.News.List.Draw(s.net), func() {
-			if gen == b.gen {
+			if gen == b.process() {
 				b.told(upTo)
 			}
 		})
 	}
 }
 
+// answerer is where a node's answer to a part goes.
+type answerer interface{ answer(end model.End) }
+
+// arrive takes a part that has reached the node.
+func (n *node) arrive(j *model.Job) {
+	s := n.sim
+	s.check.Came(j.Query, j.Districts)
+	fallen := n.Fallen
+	end, done := n.Arrive(s.now, j)
+	switch {
+	case n.Fallen && !fallen:
+		s.check.Fell(n.ID, n.Cold(s.now))
+		s.fleet.die(n)
+	case end == model.None && done > 0:
+		n.begun(j, done)
+	case end != model.None:
+		j.Context.(answerer).answer(end)
+	}
+}
+
 // begun notes that a node has begun a part that ends at done.
 func (n *node) begun(j *model.Job, done float64) {
 	s, gen := n.sim, n.gen
@@ -333,10 +371,10 @@
 		}
 		end, moved, next, then := n.Finish(s.now, j)
 		for _, m := range moved {
-			m.Context.(*flight).answer(model.Moved)
+			m.Context.(answerer).answer(model.Moved)
 		}
 		if end != model.None {
-			j.Context.(*flight).answer(end)
+			j.Context.(answerer).answer(end)
 		}
 		if next != nil {
 			n.begun(next, then)
@@ -371,13 +409,11 @@
 		j.Done = true
 	}
 	n.gen++
+	if n.wire != nil {
+		n.wire.down()
+	}
 	for _, b := range s.brokers {
-		for _, x := range slices.Clone(b.out) {
-			if x.node == n && x.there {
-				x.gone()
-				x.ends(balance.Reset, nil)
-			}
-		}
+		b.reset(n)
 	}
 	f.tell(n, balance.Gone)
 }
@@ -386,6 +422,9 @@
 func (f *fleet) back(n *node) {
 	n.gen++
 	n.Restart(f.sim.now, f.truth.Current())
+	if n.wire != nil {
+		n.wire.back()
+	}
 	f.tell(n, balance.Ready)
 }
 
@@ -401,7 +440,7 @@
 	n, long := f.nodes[s.world.IntN(len(f.nodes))], s.e.Troubles.For.Draw(s.world)
 	if kind == "broker" {
 		b := s.brokers[s.world.IntN(len(s.brokers))]
-		if b.core == nil || len(s.brokers) < 2 || slices.ContainsFunc(s.brokers, func(x *broker) bool { return x.core == nil }) {
+		if len(s.brokers) < 2 || slices.ContainsFunc(s.brokers, func(x broker) bool { return !x.running() }) {
 			return
 		}
 		b.kill()
--- /dev/null
+++ b/internal/lab/world/servers.go
@@ -0,0 +1,196 @@
+package world
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+
+	"ternstage/balance"
+	"ternstage/internal/catalog"
+	"ternstage/internal/discovery"
+	"ternstage/internal/slicemap"
+)
+
+const firstRevision = 41 // of the list at the start: what is news is counted on from it
+
+// discoveryServer is the list of nodes for one broker, over HTTP/1.1.
+type discoveryServer struct {
+	world   *World
+	b       *process
+	addr    string
+	ln      net.Listener
+	visible int // news that this broker may know
+	waiting []func()
+}
+
+func newDiscovery(s *World, b *process) (*discoveryServer, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &discoveryServer{world: s, b: b, addr: ln.Addr().String(), ln: ln}
+	go func() { _ = (&http.Server{Handler: d}).Serve(ln) }()
+	return d, nil
+}
+
+func (d *discoveryServer) close() { _ = d.ln.Close() }
+
+// told makes news visible and wakes who waits for it.
+func (d *discoveryServer) told(upTo int) {
+	d.visible = max(d.visible, upTo)
+	waiting := d.waiting
+	d.waiting = nil
+	for _, w := range waiting {
+		w()
+	}
+}
+
+// list is what is visible since a place in the news, or the whole list.
+func (d *discoveryServer) list(since int, whole bool) discovery.List {
+	s, l := d.world, discovery.List{Revision: uint64(firstRevision + d.visible), Complete: whole}
+	news := map[*node]listNews{}
+	for i, n := range s.fleet.news[:d.visible] {
+		if whole || i >= since {
+			news[n.node] = n
+		}
+	}
+	for _, n := range s.fleet.nodes {
+		x, changed := news[n]
+		if !changed {
+			x = listNews{n, balance.Ready, 0}
+		}
+		if !whole && !changed || whole && x.state == balance.Gone {
+			continue
+		}
+		m := discovery.Member{ID: n.ID, Address: n.wire.(*socket).addr, Locality: "here", Cell: n.index, Size: 1,
+			Phase: map[balance.State]string{balance.Ready: "SERVING", balance.Draining: "DRAINING",
+				balance.Gone: "DELETED"}[x.state]}
+		if x.started > 0 {
+			m.UpSinceMS = float64(s.live.unix(x.started))
+		}
+		l.Members = append(l.Members, m)
+	}
+	return l
+}
+
+// ServeHTTP implements http.Handler: GET /catalog/members.
+func (d *discoveryServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s := d.world
+	index, err := strconv.Atoi(r.URL.Query().Get("index"))
+	whole := err != nil || index < firstRevision
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	answer := make(chan discovery.List, 1)
+	ok := s.live.post(func() {
+		did := false
+		reply := func() {
+			if did {
+				return
+			}
+			did = true
+			l := d.list(index-firstRevision, whole)
+			for _, m := range l.Members { // it is told once this is written
+				if m.Phase == "SERVING" {
+					s.check.Untold(d.b.name, m.ID)
+				} else {
+					s.check.Told(s.now, d.b.name, m.ID)
+				}
+			}
+			answer <- l
+		}
+		if whole || index < firstRevision+d.visible {
+			reply()
+			return
+		}
+		d.waiting = append(d.waiting, reply)
+		s.at(s.now+float64(wait), reply)
+	})
+	if !ok {
+		return
+	}
+	select {
+	case l := <-answer:
+		writeJSON(w, l)
+	case <-r.Context().Done():
+	case <-s.live.gone:
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text)
+}
+
+// catalogueServer is the catalogue of slices, over HTTP/1.1, with the faults of the experiment.
+type catalogueServer struct{ world *World }
+
+// ServeHTTP implements http.Handler: GET /catalog/slices.
+func (c *catalogueServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s := c.world
+	index, err := strconv.ParseUint(r.URL.Query().Get("index"), 10, 63)
+	wait, _ := strconv.ParseFloat(r.URL.Query().Get("wait"), 64)
+	call := slicemap.Call{Whole: err != nil, Index: index, Wait: wait, Most: wait + 10_000}
+	answer := make(chan *told, 4)
+	put := func(t *told) {
+		select {
+		case answer <- t:
+		default: // a copy that comes later: a connection carries one answer for a call
+		}
+	}
+	if !s.live.post(func() { s.fleet.asked(call, func() { put(nil) }, func(t told) { put(&t) }) }) {
+		return
+	}
+	select {
+	case t := <-answer:
+		if t == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, t.doc())
+	case <-r.Context().Done():
+	case <-s.live.gone:
+	}
+}
+
+// doc is what is told, in the catalogue's form.
+func (t told) doc() catalog.Doc {
+	if t.v != nil {
+		d := catalog.Form(t.v, nil, t.retired)
+		if t.spoilt {
+			d.Slices = d.Slices[1:]
+		}
+		return d
+	}
+	d := catalog.Doc{Epoch: t.epoch}
+	for _, c := range t.changes {
+		d.Changes = append(d.Changes, catalog.FormChange(c))
+	}
+	return d
+}
+
+// wires opens the nodes' sockets and the catalogue's.
+func (s *World) wires() error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.catalogue = ln.Addr().String()
+	go func() { _ = (&http.Server{Handler: &catalogueServer{s}}).Serve(ln) }()
+	go func() {
+		<-s.live.gone
+		_ = ln.Close()
+	}()
+	for _, n := range s.fleet.nodes {
+		n.wire = newSocket(n)
+		n.wire.back()
+		if n.wire.(*socket).addr == "" {
+			return errListen
+		}
+	}
+	return nil
+}
--- a/internal/lab/sim/broker.go
+++ b/internal/lab/world/virtual.go
@@ -1,4 +1,4 @@
-package sim
+package world
 
 import (
 	"fmt"
@@ -9,13 +9,14 @@
 	"ternstage/internal/core"
 	"ternstage/internal/lab/exp"
 	"ternstage/internal/lab/model"
+	"ternstage/internal/lab/result"
 	"ternstage/internal/slicemap"
 )
 
-// broker is one broker: the real core and module, and this world in place of its wires. It implements
-// core.Backend, core.List, core.Clock and core.Log.
-type broker struct {
-	sim    *Sim
+// virtual is a broker in virtual time: the real core and module, and this world in place of its wires. It
+// implements core.Backend, core.List, core.Clock and core.Log.
+type virtual struct {
+	sim    *World
 	index  int
 	name   string
 	seed   uint64
@@ -25,9 +26,9 @@
 	follow *slicemap.Follow
 	dirty  bool
 	wake   float64
-	turn   []*flight
-	out    []*flight // in the order in which they went
-	seen   int       // news of the list that it has
+	turn   []*sending
+	out    []*sending // in the order in which they went
+	seen   int        // news of the list that it has
 	asked  bool
 	call   int     // the call to the catalogue that counts
 	due    float64 // when follow is asked next
@@ -38,9 +39,9 @@
 	kept  int
 }
 
-// flight is an attempt on its way.
-type flight struct {
-	b     *broker
+// sending is an attempt on its way.
+type sending struct {
+	b     *virtual
 	gen   int
 	a     *core.Attempt
 	node  *node
@@ -50,13 +51,13 @@
 	over  bool
 }
 
-func newBroker(s *Sim, i int, seed uint64) *broker {
-	return &broker{sim: s, index: i, name: fmt.Sprintf("broker-%d", i), seed: seed + uint64(i)*7919,
+func newVirtual(s *World, i int) *virtual {
+	return &virtual{sim: s, index: i, name: fmt.Sprintf("broker-%d", i), seed: s.seed + uint64(i)*7919,
 		wake: math.Inf(1), due: math.Inf(1)}
 }
 
 // start starts its process, with a map that it kept if there is one.
-func (b *broker) start(cached *slicemap.Version) {
+func (b *virtual) start(cached *slicemap.Version) {
 	s := b.sim
 	b.listed = map[uint32]bool{}
 	b.m = slicemap.New(slicemap.Options{Number: func(name string) (uint32, bool) {
@@ -88,7 +89,7 @@
 }
 
 // hangup reads the map as a broker does that knows only SIGHUP.
-func (b *broker) hangup(gen int) {
+func (b *virtual) hangup(gen int) {
 	if b.core == nil || gen != b.gen {
 		return
 	}
@@ -100,11 +101,11 @@
 }
 
 // kill ends its process: what it held is void.
-func (b *broker) kill() {
+func (b *virtual) kill() {
 	s := b.sim
 	b.moves, b.stats, b.kept = add(b.moves, b.core.Moves()), addStats(b.stats, b.m.Stats()), max(b.kept, b.most())
 	for _, q := range s.queries {
-		if q.b == b && q.gen == b.gen && !q.over {
+		if q.b == broker(b) && q.gen == b.gen && !q.over {
 			s.check.Void(q.ask.ID)
 		}
 	}
@@ -115,16 +116,47 @@
 	b.gen++
 }
 
-func (b *broker) most() int {
+func (b *virtual) id() string    { return b.name }
+func (b *virtual) process() int  { return b.gen }
+func (b *virtual) running() bool { return b.core != nil }
+func (b *virtual) up() bool      { return b.core != nil && b.core.Epoch() > 0 && len(b.listed) > 0 }
+
+func (b *virtual) take(_ *query, r *core.Request) error {
+	err := b.core.Take(r)
+	if err == nil {
+		b.touch()
+	}
+	return err
+}
+
+// reset ends what is out at a node whose process has ended.
+func (b *virtual) reset(n *node) {
+	for _, x := range slices.Clone(b.out) {
+		if x.node == n && x.there {
+			x.gone()
+			x.ends(balance.Reset, nil)
+		}
+	}
+}
+
+func (b *virtual) sum(r *result.Summary) {
+	r.KeptMax = max(r.KeptMax, b.most(), b.kept)
+	r.Add(b.moves, b.stats)
+	if b.core != nil {
+		r.Add(b.core.Moves(), b.m.Stats())
+		r.Reads += b.follow.Reads()
+		r.OpenEnd += b.core.Open()
+	}
+}
+
+func (b *virtual) most() int {
 	if b.m == nil {
 		return 0
 	}
 	return b.m.Stats().KeptMost
 }
 
-func (b *broker) ready() bool { return b.core.Epoch() > 0 && len(b.listed) > 0 }
-
-func (b *broker) touch() {
+func (b *virtual) touch() {
 	if !b.dirty {
 		b.dirty = true
 		b.sim.dirty = append(b.sim.dirty, b)
@@ -132,10 +164,10 @@
 }
 
 // Now implements core.Clock.
-func (b *broker) Now() float64 { return b.sim.now }
+func (b *virtual) Now() float64 { return b.sim.now }
 
 // WakeAt implements core.Clock.
-func (b *broker) WakeAt(at float64) {
+func (b *virtual) WakeAt(at float64) {
 	s := b.sim
 	if at = max(at, s.now+0.05); at >= b.wake {
 		return
@@ -151,13 +183,13 @@
 }
 
 // Module implements core.Log.
-func (b *broker) Module(string) {}
+func (b *virtual) Module(string) {}
 
 // Ended implements core.Log.
-func (b *broker) Ended(*core.Request, core.Answer) {}
+func (b *virtual) Ended(*core.Request, core.Answer) {}
 
 // Watch implements core.List: the whole list comes, then changes as they are known.
-func (b *broker) Watch() {
+func (b *virtual) Watch() {
 	s, gen := b.sim, b.gen
 	if b.asked {
 		return
@@ -178,7 +210,7 @@
 }
 
 // entry is what the list says of a node, as it is told to this broker.
-func (b *broker) entry(n *node, state balance.State) balance.Entry {
+func (b *virtual) entry(n *node, state balance.State) balance.Entry {
 	s := b.sim
 	if state == balance.Ready || s.Fault.IgnoreDrain {
 		b.listed[n.number] = true
@@ -201,7 +233,7 @@
 }
 
 // told takes news of the list up to a place in it.
-func (b *broker) told(upTo int) {
+func (b *virtual) told(upTo int) {
 	if b.core == nil || b.seen >= upTo || len(b.listed) == 0 {
 		return
 	}
@@ -215,18 +247,26 @@
 }
 
 // step makes the call to the catalogue that is due.
-func (b *broker) step() {
+func (b *virtual) step() {
 	if b.core == nil {
 		return
 	}
 	if c, due := b.follow.Next(b.sim.now); due {
 		b.call++
-		b.sim.fleet.asked(b, b.call, b.gen, c)
+		call, gen := b.call, b.gen
+		b.sim.fleet.asked(c, func() { b.news(call, gen, nil) }, func(t told) {
+			b.news(call, gen, func(k *core.Core) error {
+				if t.v != nil {
+					return k.TakeMap(t.whole())
+				}
+				return k.TakeChanges(t.changes, nil)
+			})
+		})
 	}
 	b.plan()
 }
 
-func (b *broker) plan() {
+func (b *virtual) plan() {
 	at := b.follow.At()
 	if math.IsInf(at, 1) || at >= b.due {
 		return
@@ -242,7 +282,7 @@
 }
 
 // news takes an answer of the catalogue; nil is a call that came to nothing.
-func (b *broker) news(call, gen int, take func(*core.Core) error) {
+func (b *virtual) news(call, gen int, take func(*core.Core) error) {
 	if b.core == nil || gen != b.gen || call != b.call {
 		return
 	}
@@ -260,30 +300,30 @@
 }
 
 // Send implements core.Backend.
-func (b *broker) Send(a *core.Attempt) {
-	f := &flight{b: b, gen: b.gen, a: a, node: b.sim.fleet.nodes[a.Node-1]}
+func (b *virtual) Send(a *core.Attempt) {
+	f := &sending{b: b, gen: b.gen, a: a, node: b.sim.fleet.nodes[a.Node-1]}
 	a.Handle = f
 	b.turn = append(b.turn, f)
 }
 
 // Flush implements core.Backend.
-func (b *broker) Flush() {
+func (b *virtual) Flush() {
 	turn := b.turn
 	b.turn = nil
 	for _, f := range turn {
 		f.launch()
 		if b.sim.Fault.Twin && b.sim.byID%20 == 0 {
-			(&flight{b: b, gen: b.gen, a: f.a, node: f.node}).launch()
+			(&sending{b: b, gen: b.gen, a: f.a, node: f.node}).launch()
 		}
 	}
 }
 
 // DropIdle implements core.Backend: connections cost nothing here.
-func (b *broker) DropIdle(uint32) {}
+func (b *virtual) DropIdle(uint32) {}
 
 // Abandon implements core.Backend.
-func (b *broker) Abandon(a *core.Attempt) (neverRan bool) {
-	f := a.Handle.(*flight)
+func (b *virtual) Abandon(a *core.Attempt) (neverRan bool) {
+	f := a.Handle.(*sending)
 	if i := slices.Index(b.turn, f); i >= 0 {
 		b.turn = slices.Delete(b.turn, i, i+1)
 		return true
@@ -299,8 +339,8 @@
 	return false
 }
 
-// leave takes a flight off: nothing that comes of it counts.
-func (f *flight) leave() {
+// leave takes a sending off: nothing that comes of it counts.
+func (f *sending) leave() {
 	f.over = true
 	if i := slices.Index(f.b.out, f); i >= 0 {
 		f.b.out = slices.Delete(f.b.out, i, i+1)
@@ -308,7 +348,7 @@
 }
 
 // gone tells the checker that it is out no more.
-func (f *flight) gone() {
+func (f *sending) gone() {
 	if f.there {
 		f.there = false
 		f.b.sim.check.Gone(f.a.Request, f.a.Districts)
@@ -316,7 +356,7 @@
 }
 
 // launch sends it.
-func (f *flight) launch() {
+func (f *sending) launch() {
 	s := f.b.sim
 	s.check.Sent(s.now, f.b.name, f.node.ID)
 	f.b.out = append(f.b.out, f)
@@ -324,7 +364,7 @@
 	s.at(f.comes, f.arrive)
 }
 
-func (f *flight) arrive() {
+func (f *sending) arrive() {
 	s, n := f.b.sim, f.node
 	q := s.queries[f.a.Request]
 	if n.Trouble == model.Down || n.Fallen || q == nil {
@@ -338,24 +378,11 @@
 		f.job.Epoch = 0
 	}
 	f.there = true
-	s.check.Came(f.a.Request, f.a.Districts)
-	fallen := n.Fallen
-	end, done := n.Arrive(s.now, f.job)
-	if n.Fallen && !fallen {
-		s.check.Fell(n.ID, n.Cold(s.now))
-		s.fleet.die(n)
-		return
-	}
-	switch {
-	case end == model.None && done > 0:
-		n.begun(f.job, done)
-	case end != model.None:
-		f.answer(end)
-	}
+	n.arrive(f.job)
 }
 
 // answer is the node's.
-func (f *flight) answer(end model.End) {
+func (f *sending) answer(end model.End) {
 	f.gone()
 	switch end {
 	case model.OK:
@@ -371,7 +398,7 @@
 }
 
 // ends brings its outcome to the broker.
-func (f *flight) ends(o balance.Outcome, value []byte) {
+func (f *sending) ends(o balance.Outcome, value []byte) {
 	s := f.b.sim
 	s.at(s.now+s.hop(), func() {
 		if f.over || f.gen != f.b.gen || f.b.core == nil {
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/world/world.go
@@ -1,6 +1,8 @@
-// Package sim plays an experiment in virtual time: the real core and decision module against the model of nodes,
-// with no socket and no sleep, many brokers in one process. One seed gives one history, on any machine.
-package sim
+// Package world plays an experiment: nodes, the list of them, the catalogue with the true map, troubles and
+// clients, round brokers. In virtual time the brokers are the real core and decision module, with no socket and no
+// sleep, many in one process, and one seed gives one history on any machine. Live, they are processes, and the same
+// world stands behind sockets on loopback.
+package world
 
 import (
 	"container/heap"
@@ -27,6 +29,20 @@
 	forget   = 30_000.0 // ms after which nothing of a query can come any more
 )
 
+// broker is a broker as the world sees it.
+type broker interface {
+	id() string
+	process() int // counts its starts
+	up() bool     // it runs and serves
+	running() bool
+	start(cached *slicemap.Version)
+	kill()
+	take(q *query, r *core.Request) error // an error tells that it was not taken
+	told(upTo int)                        // it may know the news of the list up to there
+	reset(n *node)                        // a node's process has ended
+	sum(r *result.Summary)
+}
+
 // event is something that happens at a time; of one time, in the order in which it was set.
 type event struct {
 	at  float64
@@ -50,20 +66,22 @@
 	return x
 }
 
-// Sim is one run.
-type Sim struct {
+// World is one run.
+type World struct {
 	e     *exp.Experiment
+	seed  uint64
+	mode  string
 	now   float64
 	seq   uint64
 	queue events
-	dirty []*broker
+	dirty []*virtual
 
 	// Each part of the world draws from a source of its own, so that arms of one day see the same clients.
 	load, net, world *rand.Rand
 
 	check   *check.Checker
 	fleet   *fleet
-	brokers []*broker
+	brokers []broker
 	queries map[string]*query
 	byID    int
 	latency *hdrhistogram.Histogram
@@ -71,6 +89,10 @@
 	stale   int
 	end     float64
 
+	live      *live // nil in virtual time
+	catalogue string
+	stopped   bool
+
 	// Fault is for tests of the checkers: it may spoil what happens.
 	Fault Fault
 }
@@ -89,30 +111,32 @@
 }
 
 // New makes a run of an experiment.
-func New(e *exp.Experiment, seed uint64) *Sim {
-	s := &Sim{e: e, now: origin, load: rand.New(rand.NewPCG(seed, 1)), net: rand.New(rand.NewPCG(seed, 2)),
+func New(e *exp.Experiment, seed uint64) *World {
+	s := &World{e: e, now: origin, load: rand.New(rand.NewPCG(seed, 1)), net: rand.New(rand.NewPCG(seed, 2)),
 		world: rand.New(rand.NewPCG(seed, 3)), check: check.New(), queries: map[string]*query{},
 		latency: hdrhistogram.New(1, 60_000_000, 3)}
 	s.fleet = newFleet(s, seed)
-	for i := range e.Brokers {
-		s.brokers = append(s.brokers, newBroker(s, i, seed))
-	}
+	s.seed = seed
 	s.end = origin + e.Seconds*1000
 	return s
 }
 
 // at sets what happens at a time.
-func (s *Sim) at(t float64, do func()) {
+func (s *World) at(t float64, do func()) {
 	s.seq++
 	heap.Push(&s.queue, event{max(t, s.now), s.seq, do})
 }
 
 // hop is the time a message takes one way.
-func (s *Sim) hop() float64 { return netLeast + (netMost-netLeast)*s.net.Float64() }
+func (s *World) hop() float64 { return netLeast + (netMost-netLeast)*s.net.Float64() }
 
-// Run plays it to the end. tick, if any, is called once for each simulated second.
-func (s *Sim) Run(tick func(second int, r result.Summary)) result.Summary {
+// Run plays it in virtual time to the end. tick, if any, is called once for each simulated second.
+func (s *World) Run(tick func(second int, r result.Summary)) result.Summary {
 	began := time.Now()
+	s.mode = "sim"
+	for i := range s.e.Brokers {
+		s.brokers = append(s.brokers, newVirtual(s, i))
+	}
 	s.fleet.start()
 	for _, b := range s.brokers {
 		b.start(nil)
@@ -141,7 +165,7 @@
 }
 
 // turns ends the moment: every broker to which something happened decides once.
-func (s *Sim) turns() {
+func (s *World) turns() {
 	for len(s.dirty) > 0 {
 		list := s.dirty
 		s.dirty = nil
@@ -155,8 +179,8 @@
 }
 
 // Summary is what is known so far.
-func (s *Sim) Summary() result.Summary {
-	r := result.Summary{Mode: "sim", Name: s.e.Name, Arm: s.e.Arm, Counts: s.check.Counts, Notes: s.check.Notes,
+func (s *World) Summary() result.Summary {
+	r := result.Summary{Mode: s.mode, Name: s.e.Name, Arm: s.e.Arm, Counts: s.check.Counts, Notes: s.check.Notes,
 		Changes: s.fleet.changes, Epochs: int(s.fleet.truth.Current().Epoch), Stale: s.stale,
 		P50: float64(s.latency.ValueAtQuantile(50)) / 1000, P99: float64(s.latency.ValueAtQuantile(99)) / 1000,
 		SimulatedS: (s.now - origin) / 1000, Slices: s.fleet.truth.Current().Len()}
@@ -164,34 +188,28 @@
 		r.Worth = math.Round(s.worth[0]/s.worth[1]*1e6) / 1e6
 	}
 	for _, b := range s.brokers {
-		r.KeptMax = max(r.KeptMax, b.most(), b.kept)
-		r.Add(b.moves, b.stats)
-		if b.core != nil {
-			r.Add(b.core.Moves(), b.m.Stats())
-			r.Reads += b.follow.Reads()
-			r.OpenEnd += b.core.Open()
-		}
+		b.sum(&r)
 	}
 	return r
 }
 
 // query is what a client asked and what became of it. It implements core.Client.
 type query struct {
-	sim   *Sim
+	sim   *World
 	ask   *check.Ask
 	class exp.Class
 	work  []float64 // by part
 	due   float64   // when it was first to be sent
 	first bool
 	tries int
-	b     *broker
+	b     broker
 	gen   int
 	over  bool
 	req   *core.Request
 }
 
 // arrive lets the next query come; arrivals do not wait for answers.
-func (s *Sim) arrive() {
+func (s *World) arrive() {
 	if s.now >= s.end {
 		return
 	}
@@ -222,12 +240,12 @@
 }
 
 // send gives a query to a broker that is up, if there is one.
-func (s *Sim) send(q *query, epoch uint64) {
+func (s *World) send(q *query, epoch uint64) {
 	s.byID++
 	first := s.byID
 	for i := range s.brokers {
-		if b := s.brokers[(first+i)%len(s.brokers)]; b.core != nil && b.ready() {
-			q.b, q.gen = b, b.gen
+		if b := s.brokers[(first+i)%len(s.brokers)]; b.up() {
+			q.b, q.gen = b, b.process()
 			break
 		}
 	}
@@ -245,29 +263,10 @@
 	id := q.ask.ID
 	s.queries[id] = q
 	s.check.Asked(q.ask)
-	if err := q.b.core.Take(r); err != nil {
-		// It was not taken: the client reads the map anew and asks again, once.
-		s.check.Taken--
-		s.check.Void(id)
-		s.check.Over(id)
-		delete(s.queries, id)
-		if s.stale++; q.tries < 1 {
-			q.tries++
-			next, ask := *q, q.ask.Anew()
-			next.ask = ask
-			v := s.fleet.truth.Current()
-			for i, p := range ask.Parts {
-				now := v.At(p.Districts.Lo)
-				ask.Parts[i] = check.Part{Shard: now.ID, Weight: p.Weight, Districts: now.Range}
-			}
-			if distinct(ask.Parts) {
-				next.b = nil
-				s.send(&next, v.Epoch)
-			}
-		}
+	if err := q.b.take(q, r); err != nil {
+		q.rejected()
 		return
 	}
-	q.b.touch()
 	s.at(q.ask.Deadline+100, func() { s.check.Over(id) })
 	s.at(q.ask.Deadline+forget, func() {
 		delete(s.queries, id)
@@ -275,6 +274,29 @@
 	})
 }
 
+// rejected tells that a query was not taken: its client reads the map anew and asks again, once.
+func (q *query) rejected() {
+	s, id := q.sim, q.ask.ID
+	s.check.Taken--
+	s.check.Void(id)
+	s.check.Over(id)
+	delete(s.queries, id)
+	if s.stale++; q.tries >= 1 {
+		return
+	}
+	next, ask := *q, q.ask.Anew()
+	next.tries++
+	next.ask, next.b = ask, nil
+	v := s.fleet.truth.Current()
+	for i, p := range ask.Parts {
+		now := v.At(p.Districts.Lo)
+		ask.Parts[i] = check.Part{Shard: now.ID, Weight: p.Weight, Districts: now.Range}
+	}
+	if distinct(ask.Parts) {
+		s.send(&next, v.Epoch)
+	}
+}
+
 func distinct(parts []check.Part) bool {
 	seen := map[int]bool{}
 	for _, p := range parts {
@@ -289,7 +311,7 @@
 // Finish implements core.Client.
 func (q *query) Finish(a core.Answer) {
 	s, id := q.sim, q.ask.ID
-	if q.over || q.gen != q.b.gen {
+	if q.over || q.gen != q.b.process() {
 		return
 	}
 	if s.Fault.LoseAnswer && s.byID%50 == 0 {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/world/world_test.go
@@ -1,4 +1,4 @@
-package sim
+package world
 
 import (
 	"fmt"
@@ -128,7 +128,8 @@
 	require.Zero(t, end.Broken(), end.Notes)
 	require.Zero(t, end.OpenEnd)
 	require.LessOrEqual(t, end.KeptMax, 40)
-	for _, b := range s.brokers {
+	for _, x := range s.brokers {
+		b := x.(*virtual)
 		require.Equal(t, 1, b.m.Stats().Kept, "no version is kept for nobody")
 		require.LessOrEqual(t, b.m.Stats().Groups, b.m.Stats().Slices)
 		require.Empty(t, b.out)
