--- /dev/null
+++ b/internal/lab/model/model_test.go
@@ -0,0 +1,195 @@
+package model
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ternstage/internal/slicemap"
+)
+
+var options = Options{Cores: 2, Room: 4, ColdFrom: 0.2, Warm: 10_000, FallMultiple: 2.5, FallFor: 1500}
+
+func first(t require.TestingT) *slicemap.Map {
+	m := slicemap.New(slicemap.Options{})
+	w := slicemap.Whole{Epoch: 1, Districts: 40}
+	for i := range 4 {
+		w.Slices = append(w.Slices, &slicemap.Slice{ID: i, Range: slicemap.Range{Lo: 10 * i, Hi: 10*i + 10},
+			Holders: []string{"a", "b"}})
+	}
+	_, err := m.Reset(w)
+	require.NoError(t, err)
+	return m
+}
+
+func change(t require.TestingT, m *slicemap.Map, c slicemap.Change) {
+	c.Base, c.Epoch = m.Current().Epoch, m.Current().Epoch+1
+	_, err := m.Apply([]slicemap.Change{c}, nil)
+	require.NoError(t, err)
+}
+
+// At each step of a handover exactly one of its two sides executes, whatever each of them has heard by then.
+func TestOneSideExecutesAtEachEpoch(t *testing.T) {
+	m := first(t)
+	views := []*slicemap.Version{m.Current()}
+	for _, k := range []slicemap.Kind{slicemap.Move, slicemap.Handover, slicemap.Done} {
+		change(t, m, slicemap.Change{Kind: k, Slice: 1, From: "a", To: "c"})
+		views = append(views, m.Current())
+	}
+	for _, v := range views {
+		ran := 0
+		for _, id := range []string{"a", "c"} {
+			n := New(id, options, v, 1)
+			j := &Job{Query: "q", Districts: slicemap.Range{Lo: 10, Hi: 20}, Epoch: v.Epoch, Work: 10}
+			if end, done := n.Arrive(5, j); end == None && done > 0 {
+				ran++
+			} else {
+				require.Equal(t, Moved, end)
+			}
+		}
+		require.Equal(t, 1, ran, "epoch %d", v.Epoch)
+	}
+	// A part routed by news that the node has not heard is not its to run, whoever it thinks it is.
+	n := New("a", options, views[0], 1)
+	end, _ := n.Arrive(5, &Job{Districts: slicemap.Range{Lo: 10, Hi: 20}, Epoch: 3, Work: 10})
+	require.Equal(t, Moved, end)
+}
+
+// What waits at a node when its slice is handed over is given back, and never runs there.
+func TestWaitingPartsAreGivenBack(t *testing.T) {
+	m := first(t)
+	n := New("a", options, m.Current(), 1)
+	var jobs []*Job
+	for i := range 4 {
+		j := &Job{Query: fmt.Sprint(i), Districts: slicemap.Range{Lo: 0, Hi: 10}, Epoch: 1, Work: 10}
+		_, _ = n.Arrive(float64(i), j)
+		jobs = append(jobs, j)
+	}
+	change(t, m, slicemap.Change{Kind: slicemap.Move, Slice: 0, From: "a", To: "c"})
+	change(t, m, slicemap.Change{Kind: slicemap.Handover, Slice: 0})
+	n.Learn(m.Current())
+	end, moved, next, _ := n.Finish(10, jobs[0])
+	require.Equal(t, OK, end, "what had begun is finished")
+	require.Equal(t, jobs[2:], moved)
+	require.Nil(t, next)
+	require.EqualValues(t, 2, n.Ran)
+}
+
+func TestColdNodeFallsOverAndWarmOneDoesNot(t *testing.T) {
+	m := first(t)
+	press := func(started float64) bool {
+		n := New("a", options, m.Current(), 1)
+		n.Started = started
+		for i := range 60 {
+			_, _ = n.Arrive(100_000+float64(i)*20, &Job{Districts: slicemap.Range{Lo: 0, Hi: 10}, Epoch: 1, Work: 70})
+		}
+		return n.Fallen
+	}
+	require.True(t, press(99_000))
+	require.False(t, press(0))
+	require.False(t, press(80_000))
+}
+
+// The handover as a model: a truth that changes, two sides and a third that hear of it late, in any order of
+// arrival, and a broker that routes a part by any epoch it may be at and sends it on only when it was told moved.
+// After each step the part must not have run twice. With fences off, rapid finds the history in which it does.
+func handover(t *rapid.T, fenced bool) {
+	m := first(t)
+	views := []*slicemap.Version{m.Current()}
+	nodes := map[string]*Node{}
+	for _, id := range []string{"a", "b", "c"} {
+		nodes[id] = New(id, options, m.Current(), 1)
+	}
+	ran, broker, clock := 0, 0, 10.0
+	settled := false // an attempt went out that may have run
+	t.Repeat(map[string]func(*rapid.T){
+		"change": func(t *rapid.T) {
+			s := m.Current().At(5)
+			c := slicemap.Change{Slice: s.ID, Base: m.Current().Epoch, Epoch: m.Current().Epoch + 1}
+			switch s.State {
+			case slicemap.Serving:
+				c.Kind, c.From = slicemap.Move, rapid.SampledFrom(s.Holders).Draw(t, "from")
+				for _, id := range []string{"a", "b", "c"} {
+					if !s.Executes(id) {
+						c.To = id
+					}
+				}
+			case slicemap.Preparing:
+				c.Kind = rapid.SampledFrom([]slicemap.Kind{slicemap.Handover, slicemap.Abort}).Draw(t, "kind")
+			default:
+				c.Kind = rapid.SampledFrom([]slicemap.Kind{slicemap.Done, slicemap.Abort}).Draw(t, "kind")
+			}
+			_, err := m.Apply([]slicemap.Change{c}, nil)
+			require.NoError(t, err)
+			views = append(views, m.Current())
+		},
+		"node hears": func(t *rapid.T) {
+			n := nodes[rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")]
+			n.Learn(rapid.SampledFrom(views).Draw(t, "view")) // news comes late, twice and out of order
+		},
+		"broker hears":    func(t *rapid.T) { broker = max(broker, rapid.IntRange(0, len(views)-1).Draw(t, "view")) },
+		"broker restarts": func(t *rapid.T) { broker = rapid.IntRange(0, broker).Draw(t, "old") },
+		"send": func(t *rapid.T) {
+			if settled {
+				return
+			}
+			s := views[broker].At(5)
+			to := rapid.SampledFrom(s.Executors()).Draw(t, "to")
+			j := &Job{Districts: slicemap.Range{Lo: 0, Hi: 10}, Epoch: s.Since, Work: 1}
+			if !fenced {
+				j.Epoch = 0 // the node says err where it does not hold the districts, and the broker sends again
+			}
+			clock += 100
+			end, done := nodes[to].Arrive(clock, j)
+			if end == None && done > 0 {
+				ran++
+				if _, _, _, _ = nodes[to].Finish(done, j); rapid.Bool().Draw(t, "answer lost") && !fenced {
+					return // whoever takes that for an error sends again
+				}
+			}
+			settled = end != Moved && end != Err && end != Busy
+		},
+		"": func(t *rapid.T) {
+			require.LessOrEqual(t, ran, 1, "the part ran twice")
+			executors := m.Current().At(5).Executors()
+			require.Len(t, executors, 2, "no district without its holders")
+		},
+	})
+}
+
+func TestHandoverModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { handover(t, true) })
+}
+
+// recorder takes rapid's verdict in place of the test's.
+type recorder struct {
+	*testing.T
+	failed bool
+}
+
+func (r *recorder) Errorf(string, ...any) { r.failed = true }
+func (r *recorder) Error(...any)          { r.failed = true }
+func (r *recorder) Fail()                 { r.failed = true }
+func (r *recorder) Failed() bool          { return r.failed }
+func (r *recorder) FailNow()              { r.failed = true; panic(r) }
+func (r *recorder) Fatalf(string, ...any) { r.FailNow() }
+func (r *recorder) Fatal(...any)          { r.FailNow() }
+func (r *recorder) Logf(string, ...any)   {}
+func (r *recorder) Log(...any)            {}
+
+func TestHandoverModelFindsABrokenRule(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.nofailfile", "true")) // the failure is what is wanted
+	r := &recorder{T: t}
+	func() {
+		defer func() {
+			if e := recover(); e != nil && e != any(r) {
+				panic(e)
+			}
+		}()
+		rapid.Check(r, func(t *rapid.T) { handover(t, false) })
+	}()
+	require.True(t, r.failed, "a broker that sends again on errors runs a part twice, and rapid finds how")
+}
