Keep the last map in a file where the operators name one, so that a restart without catalogue serves

Change: slices.cache names a file; a thread of its own writes versions, which never change, at most once a second, and replaces the file at once. A map kept there is taken at the start and followed on from.

--- a/cmd/ternstage/extras.go
+++ b/cmd/ternstage/extras.go
@@ -11,6 +11,7 @@
 	"ternstage/internal/core"
 	"ternstage/internal/discovery"
 	"ternstage/internal/flight"
+	"ternstage/internal/logs"
 	"ternstage/internal/operator"
 	"ternstage/internal/slicemap"
 )
@@ -19,7 +20,8 @@
 	flightFile  = "deploy/flight.toml"
 	envFlight   = "TERNSTAGE_FLIGHT"
 	envOperator = "TERNSTAGE_OPERATOR"
-	movingMost  = 100 // slices shown as being moved
+	movingMost  = 100  // slices shown as being moved
+	retiredKept = 4096 // retired slices that go into the kept map
 )
 
 // extras is what an installation switches on beside the platform's settings.
@@ -70,6 +72,24 @@
 	return catalog.Options{Address: o.Catalogue, Most: o.AnswerBytes(), Follow: o.Follow(), Seed: cfg.Seed}
 }
 
+// cached takes the map of the last run, if the operators keep one, and keeps those that follow. The function that it
+// gives ends that.
+func (x *extras) cached(c *core.Core, m *slicemap.Map, log *logs.Log) (end func()) {
+	if x.file.Slices.Cache == "" {
+		return func() {}
+	}
+	k := catalog.NewCache(x.file.Slices.Cache, func(err error) { log.Fault(logs.SlicesCache, "map not kept", err) })
+	w, err := k.Load()
+	if err == nil && w != nil {
+		err = c.TakeMap(*w)
+	}
+	if err != nil {
+		log.Fault(logs.SlicesCache, "kept map not used", err)
+	}
+	c.OnMap(func(v *slicemap.Version) { k.Keep(v, m.Retired(retiredKept)) })
+	return k.Close
+}
+
 // slicesBody is what GET /_slices shows.
 type slicesBody struct {
 	slicemap.Stats
--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -93,6 +93,7 @@
 	if m != nil {
 		source := catalog.NewSource(l, c, log, x.catalogue(cfg))
 		c.OnHint(source.Hint)
+		defer x.cached(c, m, log)()
 		l.Post(source.Start)
 		defer source.Close()
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -202,6 +202,7 @@
 	hint    func(epoch uint64)
 	moves   Moves
 
+	onMap     func(*slicemap.Version)
 	toldEpoch uint64 // of the map that the module knows
 }
 
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -39,6 +39,9 @@
 // OnHint sets who is told that a newer map is known somewhere: of that epoch, or 0 if that is not known.
 func (c *Core) OnHint(f func(epoch uint64)) { c.hint = f }
 
+// OnMap sets who is told of each map that is taken into use.
+func (c *Core) OnMap(f func(*slicemap.Version)) { c.onMap = f }
+
 // StaleError is what Take says where a slice that the client named cannot be understood.
 type StaleError struct {
 	Epoch uint64 // of the map in use
@@ -272,6 +275,9 @@
 	if err == nil && c.Epoch() != c.toldEpoch {
 		c.toldEpoch = c.Epoch()
 		c.MapChanged(retired)
+		if c.onMap != nil {
+			c.onMap(c.slices.Current())
+		}
 	}
 	return err
 }
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -440,7 +440,7 @@
 	n, long := f.nodes[s.world.IntN(len(f.nodes))], s.e.Troubles.For.Draw(s.world)
 	if kind == "broker" {
 		b := s.brokers[s.world.IntN(len(s.brokers))]
-		if len(s.brokers) < 2 || slices.ContainsFunc(s.brokers, func(x broker) bool { return !x.running() }) {
+		if len(s.brokers) < 2 || slices.ContainsFunc(s.brokers, func(x broker) bool { return !x.up() }) {
 			return
 		}
 		b.kill()
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -191,7 +191,6 @@
 
 func (b *process) id() string    { return b.name }
 func (b *process) process() int  { return b.gen }
-func (b *process) running() bool { return b.alive }
 func (b *process) up() bool      { return b.alive && b.healthy }
 func (b *process) told(upTo int) { b.discovery.told(upTo) }
 
@@ -201,7 +200,7 @@
 // sum adds nothing while it runs: what it counts is asked for once, at the end.
 func (b *process) sum(*result.Summary) {}
 
-// start starts the program, as the platform would; it keeps no map.
+// start starts the program, as the platform would; and has the map that it kept in its file.
 func (b *process) start(*slicemap.Version) {
 	s := b.world
 	if s.stopped {
@@ -338,7 +337,8 @@
 		flight = fmt.Sprintf("flight: { enabled: true, nodes: true, listen: %q },\n", b.grpc)
 	}
 	return config, operator, errors.Join(os.WriteFile(config, text, 0o600), os.WriteFile(operator,
-		fmt.Appendf(nil, "{\n%sslices: { catalogue: %q, wait_ms: 2000 },\n}\n", flight, s.catalogue), 0o600))
+		fmt.Appendf(nil, "{\n%sslices: { catalogue: %q, wait_ms: 2000, cache: %q },\n}\n", flight, s.catalogue,
+			filepath.Join(dir, b.name+".map")), 0o600))
 }
 
 // config is the platform's form of a broker's settings.
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -116,10 +116,9 @@
 	b.gen++
 }
 
-func (b *virtual) id() string    { return b.name }
-func (b *virtual) process() int  { return b.gen }
-func (b *virtual) running() bool { return b.core != nil }
-func (b *virtual) up() bool      { return b.core != nil && b.core.Epoch() > 0 && len(b.listed) > 0 }
+func (b *virtual) id() string   { return b.name }
+func (b *virtual) process() int { return b.gen }
+func (b *virtual) up() bool     { return b.core != nil && b.core.Epoch() > 0 && len(b.listed) > 0 }
 
 func (b *virtual) take(_ *query, r *core.Request) error {
 	err := b.core.Take(r)
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -34,7 +34,6 @@
 	id() string
 	process() int // counts its starts
 	up() bool     // it runs and serves
-	running() bool
 	start(cached *slicemap.Version)
 	kill()
 	take(q *query, r *core.Request) error // an error tells that it was not taken
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -49,6 +49,7 @@
 	SlicesBad        Code = "M05"
 	SlicesHurried    Code = "M06" // a node or client told of a newer map while a watch was out
 	SlicesFault      Code = "M10" // a map or a change was refused: the one in use stays
+	SlicesCache      Code = "M11" // the kept map could not be written or used
 	Shutdown         Code = "S01"
 	FlightDone       Code = "F01"
 	FlightNode       Code = "F03"
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,6 +34,7 @@
 	Most      int      `json:"most"`
 	Versions  int      `json:"versions"`
 	History   int      `json:"history"`
+	Cache     string   `json:"cache"`
 }
 
 const defaultAnswerMB = 32
