Lab: up, compare and report; the built program is tested with moving slices over both wires

Need: a new user's first command, results that can be kept and compared, and the program itself under test. Tests play 8 s live over each wire, refuse spoilt maps and check the operator's file. Result: all rules hold live at a change every 300 ms; a refused map is named by slice and fault.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run
+.PHONY: build test lint run try
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -14,3 +14,6 @@
 
 run: build
 	exec bin/ternstage
+
+try: build
+	exec bin/ternlab up
--- a/cmd/ternlab/main.go
+++ b/cmd/ternlab/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -10,9 +11,11 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
+	"ternstage/experiments"
 	"ternstage/internal/lab/exp"
 	"ternstage/internal/lab/result"
 	"ternstage/internal/lab/world"
@@ -21,7 +24,7 @@
 func main() {
 	root := &cobra.Command{Use: "ternlab", Short: "Plays experiments with brokers, nodes and clients",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand())
+	root.AddCommand(runCommand(), upCommand(), compareCommand(), reportCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "ternlab:", err)
 		os.Exit(1)
@@ -40,18 +43,20 @@
 				return err
 			}
 			var s result.Summary
+			var points []result.Point
 			switch mode {
 			case "sim":
-				s = play(c, e, seed, runs)
+				s, points = play(c, e, seed, runs)
 			case "live":
-				if s, err = playLive(c, e, seed, binary, wire); err != nil {
+				if s, points, err = playLive(c, e, seed, binary, wire); err != nil {
 					return err
 				}
 			default:
 				return fmt.Errorf("--mode %s: sim or live", mode)
 			}
 			if out != "" {
-				if err := result.Write(out, s); err != nil {
+				if err := errors.Join(result.Write(out, s), result.WriteRuns(out, s),
+					result.WriteSeries(out, points)); err != nil {
 					return err
 				}
 			}
@@ -95,8 +100,8 @@
 	return exp.Load(path, all)
 }
 
-// play plays the seeds side by side, one to a core.
-func play(c *cobra.Command, e *exp.Experiment, seed uint64, runs int) result.Summary {
+// play plays the seeds side by side, one to a core. points are the course of a single one.
+func play(c *cobra.Command, e *exp.Experiment, seed uint64, runs int) (_ result.Summary, points []result.Point) {
 	all := make([]result.Summary, max(runs, 1))
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -108,7 +113,10 @@
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			tick := func(second int, r result.Summary) {
-				if len(all) == 1 && second%10 == 0 {
+				if len(all) > 1 {
+					return
+				}
+				if points = append(points, result.PointOf(second, r)); second%10 == 0 {
 					line(c, second, r)
 				}
 			}
@@ -123,35 +131,36 @@
 		}()
 	}
 	wg.Wait()
-	return result.Sum(all)
+	return result.Sum(all), points
 }
 
 // playLive plays one seed against the built program.
-func playLive(c *cobra.Command, e *exp.Experiment, seed uint64, binary, wire string) (result.Summary, error) {
+func playLive(c *cobra.Command, e *exp.Experiment, seed uint64, binary, wire string) (_ result.Summary,
+	points []result.Point, _ error) {
 	if wire != "frames" && wire != "flight" {
-		return result.Summary{}, fmt.Errorf("--wire %s: frames or flight", wire)
+		return result.Summary{}, nil, fmt.Errorf("--wire %s: frames or flight", wire)
 	}
 	dir, err := os.MkdirTemp("", "ternlab")
 	if err != nil {
-		return result.Summary{}, err
+		return result.Summary{}, nil, err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	s, err := world.New(e, seed).RunLive(ctx, world.LiveOptions{Binary: binary, Dir: dir, Flight: wire == "flight"},
 		func(second int, r result.Summary) {
-			if second%5 == 0 {
+			if points = append(points, result.PointOf(second, r)); second%5 == 0 {
 				line(c, second, r)
 			}
 		})
 	s.Seed = seed
 	if err != nil {
-		return s, fmt.Errorf("%w (logs in %s)", err, dir)
+		return s, points, fmt.Errorf("%w (logs in %s)", err, dir)
 	}
 	if s.Broken() > 0 {
 		c.PrintErrln("the brokers' logs are in", dir)
-		return s, nil
+		return s, points, nil
 	}
-	return s, os.RemoveAll(dir)
+	return s, points, os.RemoveAll(dir)
 }
 
 // line is a line of progress.
@@ -159,3 +168,68 @@
 	c.PrintErrf("%4d s: %d taken, %d answered, %d refused, %d failed, p50 %.0f ms, p99 %.0f ms, %d changes, worth %.3f\n",
 		second, r.Taken, r.Answered, r.Refused, r.Failed, r.P50, r.P99, r.Changes, r.Worth)
 }
+
+// upCommand is the first thing a new user runs.
+func upCommand() *cobra.Command {
+	var binary, wire string
+	var seconds float64
+	c := &cobra.Command{Use: "up", Short: "Start a fleet and the built broker on loopback, until it is ended",
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			e, err := exp.LoadText("up.jsonnet", experiments.Up, nil)
+			if err != nil {
+				return err
+			}
+			if seconds > 0 {
+				e.Seconds = seconds
+			}
+			dir, err := os.MkdirTemp("", "ternlab")
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			c.Printf("%d nodes, %d brokers, %d slices over %s; configurations and logs are in %s; ctrl-C ends it\n", e.Nodes,
+				e.Brokers, e.Slices, wire, dir)
+			s, err := world.New(e, uint64(time.Now().UnixNano())).RunLive(ctx,
+				world.LiveOptions{Binary: binary, Dir: dir, Flight: wire == "flight"},
+				func(_ int, r result.Summary) {
+					c.Printf("%s answered %d, refused %d, failed %d, p50 %.0f ms, p99 %.0f ms, %d slices at epoch %d, %d rules broken\n",
+						time.Now().Format(time.TimeOnly), r.Answered, r.Refused, r.Failed, r.P50, r.P99, r.Slices, r.Epochs, r.Broken())
+				})
+			if err != nil && !errors.Is(err, context.Canceled) {
+				return err
+			}
+			if n := s.Broken(); n > 0 {
+				return fmt.Errorf("rules were broken %d times: %s", n, strings.Join(s.Notes, "; "))
+			}
+			return os.RemoveAll(dir)
+		}}
+	c.Flags().StringVar(&binary, "binary", "bin/ternstage", "the broker")
+	c.Flags().StringVar(&wire, "wire", "frames", "frames (and HTTP/1.1 to clients) or flight")
+	c.Flags().Float64Var(&seconds, "seconds", 0, "end after so long; 0: when it is told to")
+	c.SetOut(os.Stdout)
+	return c
+}
+
+func compareCommand() *cobra.Command {
+	c := &cobra.Command{Use: "compare A B", Short: "Put the figures of two kept runs side by side", Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			a, err := result.Read(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := result.Read(args[1])
+			if err != nil {
+				return err
+			}
+			c.Print(result.Compare(a, b))
+			return nil
+		}}
+	c.SetOut(os.Stdout)
+	return c
+}
+
+func reportCommand() *cobra.Command {
+	return &cobra.Command{Use: "report DIR", Short: "Write report.html from what a kept run holds", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return result.Report(args[0]) }}
+}
--- a/internal/jsonnetfile/jsonnetfile.go
+++ b/internal/jsonnetfile/jsonnetfile.go
@@ -25,12 +25,17 @@
 	if err != nil {
 		return err
 	}
+	return LoadText(path, string(text), schema, vars, out)
+}
+
+// LoadText is Load of a text that messages call by a name.
+func LoadText(path, text, schema string, vars map[string]string, out any) error {
 	vm := jsonnet.MakeVM()
 	vm.MaxStack = maxStack
 	for k, v := range vars {
 		vm.ExtVar(k, v)
 	}
-	result, err := vm.EvaluateAnonymousSnippet(path, string(text))
+	result, err := vm.EvaluateAnonymousSnippet(path, text)
 	if err != nil {
 		return fmt.Errorf("%s", strings.TrimSpace(firstLines(err.Error())))
 	}
@@ -38,7 +43,7 @@
 		at := ""
 		var f *fieldError
 		if errors.As(err, &f) {
-			if n := lineOf(string(text), f.field); n > 0 {
+			if n := lineOf(text, f.field); n > 0 {
 				at = fmt.Sprintf(":%d", n)
 			}
 		}
--- a/internal/lab/exp/exp.go
+++ b/internal/lab/exp/exp.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 
 	"ternstage/api"
 	"ternstage/balance"
@@ -104,8 +105,17 @@
 
 // Load reads an experiment. vars are the template's external variables.
 func Load(path string, vars map[string]string) (*Experiment, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return LoadText(path, string(text), vars)
+}
+
+// LoadText is Load of a text that messages call by a name.
+func LoadText(path, text string, vars map[string]string) (*Experiment, error) {
 	e := &Experiment{}
-	if err := jsonnetfile.Load(path, api.ExperimentSchema, vars, e); err != nil {
+	if err := jsonnetfile.LoadText(path, text, api.ExperimentSchema, vars, e); err != nil {
 		return nil, err
 	}
 	e.defaults()
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -148,24 +148,41 @@
 	return passed, faults
 }
 
+// names are the figures' names in order.
+func (s Summary) names() []string {
+	var names []string
+	for name := range s.Figures() {
+		if name != "seed" {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Table is the summary as a Markdown table, one row a figure.
 func (s Summary) Table() string {
 	figures := s.Figures()
-	names := make([]string, 0, len(figures))
-	for name := range figures {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	var b strings.Builder
 	fmt.Fprintf(&b, "| %s, %s, %s, seed %d | |\n| --- | --- |\n", s.Name, s.Arm, s.Mode, s.Seed)
-	for _, name := range names {
-		if name != "seed" {
-			fmt.Fprintf(&b, "| %s | %v |\n", name, figures[name])
-		}
+	for _, name := range s.names() {
+		fmt.Fprintf(&b, "| %s | %.8g |\n", name, figures[name])
 	}
 	return b.String()
 }
 
+// Read is the summary that a folder keeps.
+func Read(dir string) (s Summary, err error) {
+	text, err := os.ReadFile(filepath.Join(dir, "summary.json"))
+	if err != nil {
+		return s, err
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
+		return s, fmt.Errorf("%s: %w", dir, err)
+	}
+	return s, nil
+}
+
 // Write keeps a summary in a folder: summary.json and a table in Markdown and CSV.
 func Write(dir string, s Summary) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -25,6 +25,7 @@
 	startMost = 20 * time.Second // for a broker to serve
 	stopMost  = 20 * time.Second // for it to end after SIGTERM
 	inboxSize = 4096
+	liveTail  = 2500.0 // ms after the last arrival: longer than a class's deadline
 	memoryMB  = 192
 	sockets   = 1024
 )
@@ -109,7 +110,7 @@
 		}
 		s.at(s.now+1000, every)
 	}
-	s.pump(ctx, func() bool { return s.now > s.end+tail })
+	s.pump(ctx, func() bool { return s.now > s.end+liveTail })
 	s.stopped = true
 	r := s.Summary()
 	for _, b := range brokers {
--- /dev/null
+++ b/test/slices_test.go
@@ -0,0 +1,187 @@
+package test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ternstage/internal/catalog"
+	"ternstage/internal/lab/exp"
+	"ternstage/internal/lab/world"
+)
+
+// The built program follows splits, merges and moves under load, over both wires, while nodes fail and a broker dies.
+func TestSlicesMoveUnderLoad(t *testing.T) {
+	for _, over := range wires {
+		t.Run(over.name, func(t *testing.T) {
+			t.Parallel()
+			e, err := exp.Load("../experiments/reshard.jsonnet", map[string]string{"arm": "follow", "every": "300", "seconds": "8"})
+			require.NoError(t, err)
+			e.Rate, e.News.Outages, e.News.Spoilt = 30, nil, 0.2
+			s, err := world.New(e, 5).RunLive(context.Background(),
+				world.LiveOptions{Binary: built, Dir: t.TempDir(), Flight: over.flight}, nil)
+			require.NoError(t, err)
+			require.Zero(t, s.Broken(), s.Notes)
+			require.Greater(t, s.Taken, 100)
+			require.Greater(t, s.Changes, 10)
+			require.Positive(t, s.Answered)
+			require.Positive(t, s.Refusals, "spoilt maps were refused")
+		})
+	}
+}
+
+// catalogue is a stand-in that answers what the test says.
+type catalogue struct {
+	addr  string
+	mu    sync.Mutex
+	doc   any
+	next  chan struct{}
+	calls []string
+}
+
+func newCatalogue(t *testing.T, doc any) *catalogue {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := &catalogue{addr: ln.Addr().String(), doc: doc, next: make(chan struct{})}
+	s := &http.Server{Handler: c}
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return c
+}
+
+func (c *catalogue) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.mu.Lock()
+	c.calls = append(c.calls, r.URL.RequestURI())
+	next := c.next
+	c.mu.Unlock()
+	if strings.Contains(r.URL.RawQuery, "wait=") && !strings.Contains(r.URL.RawQuery, "wait=0") {
+		select {
+		case <-next:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if text, raw := c.doc.(string); raw {
+		_, _ = w.Write([]byte(text))
+		return
+	}
+	_ = json.NewEncoder(w).Encode(c.doc)
+}
+
+// say changes what it answers, and ends the watches.
+func (c *catalogue) say(doc any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.doc = doc
+	close(c.next)
+	c.next = make(chan struct{})
+}
+
+func ring(epoch uint64) catalog.Doc {
+	d := catalog.Doc{Epoch: epoch, Complete: true, Districts: 80}
+	for i := range 8 {
+		d.Slices = append(d.Slices, catalog.Slice{ID: i, Lo: 10 * i, Hi: 10*i + 10,
+			Holders: []string{nodeName(i), nodeName(i + 1), nodeName(i + 2)}})
+	}
+	return d
+}
+
+func nodeName(i int) string { return []string{"s-0", "s-1", "s-2", "s-3"}[i%4] }
+
+func (p *program) slices() (b struct {
+	Epoch   uint64
+	Refused uint64
+	Slices  int
+}) {
+	r, err := http.Get("http://" + p.addr + "/_slices")
+	if err != nil {
+		return b
+	}
+	defer r.Body.Close()
+	_ = json.NewDecoder(r.Body).Decode(&b)
+	return b
+}
+
+// A map that cannot be leaves the one in use, with a line that names the first fault, and the whole map is asked for.
+func TestRefusedMapStaysOut(t *testing.T) {
+	c := newCatalogue(t, ring(5))
+	operator := filepath.Join(t.TempDir(), "operator.jsonnet")
+	cache := filepath.Join(t.TempDir(), "map.json")
+	write := func() {
+		require.NoError(t, os.WriteFile(operator, []byte("local at = '"+c.addr+"';\n{ slices: { catalogue: at, cache: '"+cache+"' } }\n"), 0o600))
+	}
+	write()
+	ns := startNodes(t, wires[0], nil)
+	t.Setenv("TERNSTAGE_OPERATOR", operator)
+	p := start(t, options{members: ns.members})
+	require.EqualValues(t, 5, p.slices().Epoch)
+	bad := ring(6)
+	bad.Slices[3].Lo++
+	c.say(bad)
+	p.waitLog("slice 3: districts that nobody holds: 30-31 before it")
+	p.waitLog(`"code":"M10"`)
+	require.EqualValues(t, 5, p.slices().Epoch)
+	c.say(catalog.Doc{Epoch: 9, Changes: []catalog.Change{{Base: 7, Epoch: 9, Kind: "handover"}}})
+	p.waitLog("the change is onto another epoch: onto 7, at 5")
+	c.say("{")
+	p.waitLog("the catalogue's answer cannot be used")
+	c.say(ring(7))
+	require.Eventually(t, func() bool { return p.slices().Epoch == 7 }, patience, 5*time.Millisecond)
+	c.say(catalog.Doc{Epoch: 8, Changes: []catalog.Change{{Base: 7, Epoch: 8, Kind: "split", Slice: 0, At: 4, Into: []int{8, 9}}}})
+	require.Eventually(t, func() bool { return p.slices().Epoch == 8 && p.slices().Slices == 9 }, patience, 5*time.Millisecond)
+	a := askHTTP(context.Background(), p, query{id: "q1", class: "compare", tenant: "gangasagar-life",
+		shards: []int{0, 1}, wait: time.Second, body: `{"shards":[{"shard":99,"weight":1}],"q":"x","epoch":5}`})
+	require.Equal(t, "invalid", a.end, "what cannot be translated is turned away at once")
+	p.stop()
+
+	// It starts again while the catalogue is away, with the map that it kept.
+	c.say("nonsense")
+	p = start(t, options{members: ns.members})
+	require.EqualValues(t, 8, p.slices().Epoch)
+	p.stop()
+}
+
+// Files that cannot be used are named with line and field; check says what would be done.
+func TestCheckAndOperatorsFile(t *testing.T) {
+	dir := t.TempDir()
+	config := filepath.Join(dir, "config.json")
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:8080", "discovery": "127.0.0.1:8500",
+		"seed": "8c1f30d27a5be964", "settings": settings()})
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(config, text, 0o600))
+	run := func(operator string) (string, error) {
+		path := filepath.Join(dir, "operator.jsonnet")
+		require.NoError(t, os.WriteFile(path, []byte(operator), 0o600))
+		out, err := exec.Command(built, "check", config, "--operator", path).CombinedOutput()
+		return string(out), err
+	}
+	out, err := run("{ slices: { catalogue: '127.0.0.1:8600' } }")
+	require.NoError(t, err, out)
+	require.Contains(t, out, "slices move, as the catalogue at 127.0.0.1:8600 says")
+	require.Contains(t, out, "class bind: non_idempotent")
+	for operator, want := range map[string]string{
+		"{\n slices: {\n  catalogue: 'localhost:8600' } }": "operator.jsonnet:3: slices.catalogue:",
+		"{\n flight: { enabled: true } }":                  "operator.jsonnet:2: flight: missing property",
+		"{\n slices: 7,\n other: 1 }":                      "operator.jsonnet",
+		"{\n slices: { catalogue: nope } }":                "operator.jsonnet:2:23-27 Unknown variable: nope",
+	} {
+		out, err := run(operator)
+		require.Error(t, err, out)
+		require.Contains(t, out, want)
+	}
+	out2, err := exec.Command(built).CombinedOutput()
+	require.Error(t, err)
+	require.Len(t, strings.Split(strings.TrimSpace(string(out2)), "\n"), 2, "two lines tell how to try it")
+}
