--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run try
+.PHONY: build test lint try
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -12,8 +12,5 @@
 	@wide=$$(awk 'length($$0) > 110 {print FILENAME ":" FNR}' $$(git ls-files '*.go' ':!*_test.go')); \
 	if [ -n "$$wide" ]; then echo "lines over 110 characters: $$wide"; exit 1; fi
 
-run: build
-	exec bin/ternstage
-
 try: build
 	exec bin/ternlab up
--- a/balance/layout.go
+++ b/balance/layout.go
@@ -21,8 +21,8 @@
 // LayoutChanged tells that the layout has changed.
 func (b *Balancer) LayoutChanged() { clear(b.holders) }
 
-// PartReplaced puts parts in the place of one of whose attempts none is out: its shard is others' now. What was
-// tried of it counts for each of them. It tells whether it did; a part without a unit cannot be replaced.
+// PartReplaced puts parts in the place of one of whose attempts none is out: its shard is others' now. What
+// was tried of it counts for each of them. It tells whether it did; a part without a unit cannot be replaced.
 func (b *Balancer) PartReplaced(now float64, id uint64, by []Part) bool {
 	p := b.parts[id]
 	if p == nil || p.in || p.live > 0 || p.q.ended || p.unit == nil {
@@ -140,7 +140,8 @@
 	switch {
 	case p.unit == nil && pass(p):
 		return p.Weight
-	case p.unit != nil && p.unit.parts[0] == p && !slices.ContainsFunc(p.unit.parts, func(x *part) bool { return !pass(x) }):
+	case p.unit != nil && p.unit.parts[0] == p && !slices.ContainsFunc(p.unit.parts,
+		func(x *part) bool { return !pass(x) }):
 		return p.unit.weight
 	}
 	return 0
--- a/cmd/ternlab/main.go
+++ b/cmd/ternlab/main.go
@@ -1,4 +1,5 @@
-// Command ternlab is the lab: it plays experiments in virtual time or live on loopback, and keeps what they found.
+// Command ternlab is the lab: it plays experiments in virtual time or live on loopback, and keeps what they
+// found.
 package main
 
 import (
@@ -36,7 +37,8 @@
 	var runs int
 	var mode, out, binary, wire string
 	var vars []string
-	c := &cobra.Command{Use: "run FILE", Short: "Play an experiment and check the rules", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "run FILE", Short: "Play an experiment and check the rules",
+		Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			e, err := load(args[0], vars)
 			if err != nil {
@@ -101,7 +103,8 @@
 }
 
 // play plays the seeds side by side, one to a core. points are the course of a single one.
-func play(c *cobra.Command, e *exp.Experiment, seed uint64, runs int) (_ result.Summary, points []result.Point) {
+func play(c *cobra.Command, e *exp.Experiment, seed uint64, runs int) (_ result.Summary,
+	points []result.Point) {
 	all := make([]result.Summary, max(runs, 1))
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -146,7 +149,8 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s, err := world.New(e, seed).RunLive(ctx, world.LiveOptions{Binary: binary, Dir: dir, Flight: wire == "flight"},
+	s, err := world.New(e, seed).RunLive(ctx, world.LiveOptions{Binary: binary, Dir: dir,
+		Flight: wire == "flight"},
 		func(second int, r result.Summary) {
 			if points = append(points, result.PointOf(second, r)); second%5 == 0 {
 				line(c, second, r)
@@ -165,7 +169,8 @@
 
 // line is a line of progress.
 func line(c *cobra.Command, second int, r result.Summary) {
-	c.PrintErrf("%4d s: %d taken, %d answered, %d refused, %d failed, p50 %.0f ms, p99 %.0f ms, %d changes, worth %.3f\n",
+	c.PrintErrf("%4d s: %d taken, %d answered, %d refused, %d failed, "+
+		"p50 %.0f ms, p99 %.0f ms, %d changes, worth %.3f\n",
 		second, r.Taken, r.Answered, r.Refused, r.Failed, r.P50, r.P99, r.Changes, r.Worth)
 }
 
@@ -188,13 +193,16 @@
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			c.Printf("%d nodes, %d brokers, %d slices over %s; configurations and logs are in %s; ctrl-C ends it\n", e.Nodes,
+			c.Printf("%d nodes, %d brokers, %d slices over %s; configurations and logs are in %s; ctrl-C ends it\n",
+				e.Nodes,
 				e.Brokers, e.Slices, wire, dir)
 			s, err := world.New(e, uint64(time.Now().UnixNano())).RunLive(ctx,
 				world.LiveOptions{Binary: binary, Dir: dir, Flight: wire == "flight"},
 				func(_ int, r result.Summary) {
-					c.Printf("%s answered %d, refused %d, failed %d, p50 %.0f ms, p99 %.0f ms, %d slices at epoch %d, %d rules broken\n",
-						time.Now().Format(time.TimeOnly), r.Answered, r.Refused, r.Failed, r.P50, r.P99, r.Slices, r.Epochs, r.Broken())
+					c.Printf("%s answered %d, refused %d, failed %d, p50 %.0f ms, p99 %.0f ms, %d slices at epoch %d, "+
+						"%d rules broken\n",
+						time.Now().Format(time.TimeOnly), r.Answered, r.Refused, r.Failed, r.P50, r.P99, r.Slices, r.Epochs,
+						r.Broken())
 				})
 			if err != nil && !errors.Is(err, context.Canceled) {
 				return err
@@ -212,7 +220,8 @@
 }
 
 func compareCommand() *cobra.Command {
-	c := &cobra.Command{Use: "compare A B", Short: "Put the figures of two kept runs side by side", Args: cobra.ExactArgs(2),
+	c := &cobra.Command{Use: "compare A B", Short: "Put the figures of two kept runs side by side",
+		Args: cobra.ExactArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
 			a, err := result.Read(args[0])
 			if err != nil {
@@ -230,6 +239,7 @@
 }
 
 func reportCommand() *cobra.Command {
-	return &cobra.Command{Use: "report DIR", Short: "Write report.html from what a kept run holds", Args: cobra.ExactArgs(1),
+	return &cobra.Command{Use: "report DIR", Short: "Write report.html from what a kept run holds",
+		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error { return result.Report(args[0]) }}
 }
--- a/cmd/ternstage/extras.go
+++ b/cmd/ternstage/extras.go
@@ -42,7 +42,8 @@
 	}
 	x := &extras{file: f}
 	if o := f.Flight; o != nil {
-		x.flight = flight.Config{Enabled: o.Enabled, Listen: o.Listen, Nodes: o.Nodes, Streams: o.Streams, Conns: o.Conns}
+		x.flight = flight.Config{Enabled: o.Enabled, Listen: o.Listen, Nodes: o.Nodes, Streams: o.Streams,
+			Conns: o.Conns}
 		x.flight.Defaults()
 		return x, nil
 	}
@@ -61,7 +62,8 @@
 	if o == nil {
 		return nil
 	}
-	m := slicemap.New(slicemap.Options{Slices: o.Most, Versions: o.Versions, History: o.History, Number: nodes.Number})
+	m := slicemap.New(slicemap.Options{Slices: o.Most, Versions: o.Versions, History: o.History,
+		Number: nodes.Number})
 	cfg.Module.Layout, cfg.Book.Slices = m, true
 	return m
 }
@@ -72,13 +74,16 @@
 	return catalog.Options{Address: o.Catalogue, Most: o.AnswerBytes(), Follow: o.Follow(), Seed: cfg.Seed}
 }
 
-// cached takes the map of the last run, if the operators keep one, and keeps those that follow. The function that it
-// gives ends that.
+// cached takes the map of the last run, if the operators keep one, and keeps those that follow. The function
+// that it gives ends that.
 func (x *extras) cached(c *core.Core, m *slicemap.Map, log *logs.Log) (end func()) {
 	if x.file.Slices.Cache == "" {
 		return func() {}
 	}
-	k := catalog.NewCache(x.file.Slices.Cache, func(err error) { log.Fault(logs.SlicesCache, "map not kept", err) })
+	k := catalog.NewCache(x.file.Slices.Cache, func(err error) {
+		log.Fault(logs.SlicesCache, "map not kept",
+			err)
+	})
 	w, err := k.Load()
 	if err == nil && w != nil {
 		err = c.TakeMap(*w)
--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -17,7 +17,8 @@
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "ternstage:", err)
 		if errors.Is(err, config.ErrNone) {
-			fmt.Fprintln(os.Stderr, "To try it on an emulated fleet: make try. To serve: BALANCER_CONFIG=FILE ternstage")
+			fmt.Fprintln(os.Stderr,
+				"To try it on an emulated fleet: make try. To serve: BALANCER_CONFIG=FILE ternstage")
 		}
 		os.Exit(1)
 	}
@@ -34,8 +35,11 @@
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve, as BALANCER_CONFIG says", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error { return serve(file) }},
-		&cobra.Command{Use: "check FILE", Short: "Check a configuration and the operator's file, and say what they do",
-			Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error { return check(c, args[0], file) }},
+		&cobra.Command{Use: "check FILE", Short: "Say what a configuration and the operator's file do",
+			Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+				return check(c, args[0],
+					file)
+			}},
 		&cobra.Command{Use: "version", Short: "Say which build this is", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error {
 				c.Println("ternstage", version())
@@ -87,7 +91,8 @@
 	}
 	switch s := x.file.Slices; s {
 	case nil:
-		c.Printf("%d shards on %d cells, each on %d; they do not move\n", cfg.Module.Shards, cfg.Module.Cells, cfg.Module.Reach)
+		c.Printf("%d shards on %d cells, each on %d; they do not move\n", cfg.Module.Shards, cfg.Module.Cells,
+			cfg.Module.Reach)
 	default:
 		c.Printf("slices move, as the catalogue at %s says\n", s.Catalogue)
 	}
--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -61,7 +61,8 @@
 	clock.timer = l.NewTimer(func() {}) // a wake-up is all it is for: the turn follows every one
 	nodes := discovery.NewNodes(cfg.Zones)
 	m := x.slices(cfg, nodes)
-	c, err := core.New(cfg.Module, cfg.Seed, core.Options{MaxOpen: cfg.MaxOpen, Clock: clock, Log: log, Slices: m})
+	c, err := core.New(cfg.Module, cfg.Seed, core.Options{MaxOpen: cfg.MaxOpen, Clock: clock, Log: log,
+		Slices: m})
 	if err != nil {
 		return err
 	}
@@ -114,10 +115,11 @@
 	}()
 	go reload.New(l, log, watch, cfg).Serve(hangups)
 	if x.toml {
-		log.Info("flight.toml is read; its section belongs into the operator's file now, see deploy/operator.jsonnet")
+		log.Info("flight.toml is read; its place is the operator's file now, see deploy/operator.jsonnet")
 	}
 	log.Info("serving", zap.String("listen", cfg.Listen), zap.Int("known", nodes.Size()),
-		zap.Bool("flight", fc.Enabled), zap.Bool("slices_move", m != nil), zap.Int("goroutines", runtime.NumGoroutine()))
+		zap.Bool("flight", fc.Enabled), zap.Bool("slices_move", m != nil), zap.Int("goroutines",
+			runtime.NumGoroutine()))
 	if err := l.Run(); err != nil {
 		return err
 	}
--- a/internal/catalog/cache.go
+++ b/internal/catalog/cache.go
@@ -13,12 +13,13 @@
 	"ternstage/internal/slicemap"
 )
 
-// cacheEvery is how often the file is written at most: the map of a restart is old anyway, and a watch brings the
-// rest.
+// cacheEvery is how often the file is written at most: the map of a restart is old anyway, and a watch brings
+// the rest.
 const cacheEvery = time.Second
 
-// Cache keeps the last map in a file that outlives the program, so that a broker that starts while the catalogue is
-// away serves by what it knew. Versions never change, so the thread that writes needs no lock on the map.
+// Cache keeps the last map in a file that outlives the program, so that a broker that starts while the
+// catalogue is away serves by what it knew. Versions never change, so the thread that writes needs no lock on
+// the map.
 type Cache struct {
 	path string
 	fail func(error)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,6 @@
-// Package catalog follows a catalogue of slices over HTTP/1.1, in the style of discovery: GET /catalog/slices is
-// the whole map, with index and wait a watch that answers with changes or with the whole map. When it is asked,
-// and for what, slicemap.Follow decides. api/asyncapi.yaml has the form.
+// Package catalog follows a catalogue of slices over HTTP/1.1, in the style of discovery: GET /catalog/slices
+// is the whole map, with index and wait a watch that answers with changes or with the whole map. When it is
+// asked, and for what, slicemap.Follow decides. api/asyncapi.yaml has the form.
 package catalog
 
 import (
@@ -78,7 +78,8 @@
 				At: c.At, Into: c.Into, From: c.From, To: c.To, Holders: c.Holders})
 		}
 		if n := len(cs); n > 0 && cs[n-1].Epoch != d.Epoch {
-			return nil, nil, nil, fmt.Errorf("%w: changes up to %d in an answer of epoch %d", ErrDoc, cs[n-1].Epoch, d.Epoch)
+			return nil, nil, nil, fmt.Errorf("%w: changes up to %d in an answer of epoch %d", ErrDoc, cs[n-1].Epoch,
+				d.Epoch)
 		}
 		return nil, cs, d.Nodes, nil
 	}
@@ -113,7 +114,8 @@
 }
 
 func formSlice(s *slicemap.Slice) Slice {
-	return Slice{ID: s.ID, Lo: s.Lo, Hi: s.Hi, Holders: s.Holders, State: s.State.String(), From: s.From, To: s.To,
+	return Slice{ID: s.ID, Lo: s.Lo, Hi: s.Hi, Holders: s.Holders, State: s.State.String(), From: s.From,
+		To:    s.To,
 		Since: s.Since, Parents: s.Parents}
 }
 
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -51,7 +51,8 @@
 
 // NewSource makes a source that asks nothing until Start.
 func NewSource(l *loop.Loop, sink Sink, log *logs.Log, o Options) *Source {
-	s := &Source{loop: l, sink: sink, log: log, o: o, follow: slicemap.NewFollow(o.Follow, o.Seed), by: math.Inf(1)}
+	s := &Source{loop: l, sink: sink, log: log, o: o, follow: slicemap.NewFollow(o.Follow, o.Seed),
+		by: math.Inf(1)}
 	s.timer = l.NewTimer(s.step)
 	return s
 }
--- /dev/null
+++ b/internal/core/bench_test.go
@@ -0,0 +1,100 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+
+	"ternstage/balance"
+	"ternstage/internal/core"
+	"ternstage/internal/wire"
+)
+
+// bench is a broker whose nodes answer at once. It uses nothing that earlier versions have not, so that the same
+// file measures them.
+type bench struct {
+	now  float64
+	sent []*core.Attempt
+	done int
+}
+
+func (b *bench) Now() float64                       { return b.now }
+func (b *bench) WakeAt(float64)                     {}
+func (b *bench) Module(string)                      {}
+func (b *bench) Ended(*core.Request, core.Answer)   {}
+func (b *bench) Watch()                             {}
+func (b *bench) Send(a *core.Attempt)               { b.sent = append(b.sent, a) }
+func (b *bench) Flush()                             {}
+func (b *bench) Abandon(*core.Attempt) (never bool) { return false }
+func (b *bench) DropIdle(uint32)                    {}
+func (b *bench) Finish(core.Answer)                 { b.done++ }
+
+func newBench(b *testing.B, shards int) (*bench, *core.Core) {
+	s, err := wire.ParseSettings(fmt.Appendf(nil, `{"balancers":2,"me":0,"resolution_ms":5,"categories":[{"aim_ms":300,
+		"deadline_ms":3000,"effect":"read_like","worth":1,"late_worth":0.3}],"domain":{"complete_from":[1],"min_share":[1],
+		"incomplete_worth":[0],"fetch_parts":[0],"per_call":1,"sets":12,"slices":%d,"width":3},
+		"invariants":{"drain_grace_ms":1000},"limits":{"cancel":true,"try_limit":4}}`, shards))
+	if err != nil {
+		b.Fatal(err)
+	}
+	x := &bench{now: 1e6}
+	c, err := core.New(s, 7, core.Options{Clock: x, Log: x})
+	if err != nil {
+		b.Fatal(err)
+	}
+	c.Attach(x, x)
+	var es []balance.Entry
+	for i := range 12 {
+		es = append(es, balance.Entry{Replica: uint32(i + 1), Cell: i, State: balance.Ready})
+	}
+	c.ListChanged(balance.ListFull, es)
+	c.Turn()
+	return x, c
+}
+
+func (x *bench) ask(b *testing.B, c *core.Core, i, shards int) {
+	r := &core.Request{Name: fmt.Sprint(i), Deadline: x.now + 3000, Client: x, Text: []byte("x")}
+	for j := range 4 {
+		r.Parts = append(r.Parts, core.Part{Shard: (i*7 + j) % shards, Weight: 0.25, Cost: 10, Hinted: true})
+	}
+	if err := c.Take(r); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkQuery is the whole path of a query of four parts: taken, sent, answered. 20 others are out.
+func BenchmarkQuery(b *testing.B) {
+	x, c := newBench(b, 24)
+	b.ReportAllocs()
+	for i := range b.N {
+		x.now += 2
+		x.ask(b, c, i, 24)
+		c.Turn()
+		for len(x.sent) > 80 {
+			c.Ended(x.sent[0], balance.OK, []byte("v"))
+			x.sent = x.sent[1:]
+		}
+		c.Turn()
+	}
+}
+
+// BenchmarkTurn is a turn with 100 queries held and nothing to do, by the number of slices.
+func BenchmarkTurn(b *testing.B) {
+	for _, shards := range []int{24, 1000, 100_000} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) {
+			x, c := newBench(b, shards)
+			for i := range 100 {
+				x.now++
+				x.ask(b, c, i, shards)
+				c.Turn()
+				for len(x.sent) > 0 && i < 20 { // some latencies are known
+					c.Ended(x.sent[0], balance.OK, []byte("v"))
+					x.sent = x.sent[1:]
+				}
+			}
+			b.ResetTimer()
+			for range b.N {
+				c.Turn()
+			}
+		})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -416,6 +416,7 @@
 	}
 	if r.version != nil {
 		c.slices.End(r.version)
+		r.version = nil // whoever still holds the request must not hold a map with it
 	}
 	c.open -= 1 + len(r.parts)
 }
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -9,10 +9,11 @@
 	"ternstage/internal/slicemap"
 )
 
-// How core carries requests while slices move. What may go where, and what of it is in, the slice map decides.
+// How core carries requests while slices move. What may go where, and what of it is in, the slice map
+// decides.
 
-// behindFor is in how many ms a client may come again whose map is newer than ours: a read of the map on a hint takes
-// less.
+// behindFor is in how many ms a client may come again whose map is newer than ours: a read of the map on a
+// hint takes less.
 const behindFor = 100.0
 
 // unit is a part as its client named it.
@@ -54,8 +55,8 @@
 // Unwrap gives ErrContract and the map's own error.
 func (e *StaleError) Unwrap() []error { return []error{ErrContract, e.Err} }
 
-// resolve finds the districts of a request's parts and how many calls they take by the map in use; 0 if there is
-// no map yet, or none as new as the client's: then we are behind, and trying again is harmless.
+// resolve finds the districts of a request's parts and how many calls they take by the map in use; 0 if there
+// is no map yet, or none as new as the client's: then we are behind, and trying again is harmless.
 func (c *Core) resolve(r *Request) (legs int, err error) {
 	epoch := c.slices.Current().Epoch
 	if r.Epoch > epoch {
@@ -104,7 +105,8 @@
 	}
 }
 
-// leg makes the part of a request that asks one slice for districts of a unit. Weight and cost go by districts.
+// leg makes the part of a request that asks one slice for districts of a unit. Weight and cost go by
+// districts.
 func (c *Core) leg(r *Request, u *unit, l slicemap.Leg) *part {
 	c.nextID++
 	share := float64(l.Size()) / float64(u.Size())
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -309,8 +309,8 @@
 	return true
 }
 
-// The reason and the key of the ErrorInfo by which a node says FAILED_PRECONDITION where slices move: it does not
-// hold the districts at its epoch, and nothing of the part ran.
+// The reason and the key of the ErrorInfo by which a node says FAILED_PRECONDITION where slices move: it does
+// not hold the districts at its epoch, and nothing of the part ran.
 const (
 	reasonMoved = "MOVED"
 	metaEpoch   = "epoch"
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -1,4 +1,5 @@
-// Package httpanswer parses the HTTP/1.1 answers of the services that the broker asks: discovery and catalogues.
+// Package httpanswer parses the HTTP/1.1 answers of the services that the broker asks: discovery and
+// catalogues.
 package httpanswer
 
 import (
@@ -11,8 +12,8 @@
 
 var errAnswer = errors.New("malformed answer")
 
-// Parse takes one HTTP answer off in; size is 0 while it is not whole, last tells that no other follows on its
-// connection. An answer said to have more than most bytes is malformed.
+// Parse takes one HTTP answer off in; size is 0 while it is not whole, last tells that no other follows on
+// its connection. An answer said to have more than most bytes is malformed.
 func Parse(in []byte, most int) (status int, body []byte, size int, last bool, err error) {
 	end := bytes.Index(in, []byte("\r\n\r\n"))
 	if end < 0 {
--- a/internal/jsonnetfile/jsonnetfile.go
+++ b/internal/jsonnetfile/jsonnetfile.go
@@ -102,11 +102,12 @@
 	return &fieldError{bad.InstanceLocation, bad.ErrorKind.LocalizedString(message.NewPrinter(language.English))}
 }
 
-// lineOf finds the line in which a field is written, the innermost name that stands in the file; 0 if none does,
-// as where a template makes the name.
+// lineOf finds the line in which a field is written, the innermost name that stands in the file; 0 if none
+// does, as where a template makes the name.
 func lineOf(text string, field []string) int {
 	for i := len(field) - 1; i >= 0; i-- {
-		at := regexp.MustCompile(`(?m)^[^#]*?\b` + regexp.QuoteMeta(field[i]) + `\b['"]?\s*\+?:`).FindStringIndex(text)
+		name := regexp.MustCompile(`(?m)^[^#]*?\b` + regexp.QuoteMeta(field[i]) + `\b['"]?\s*\+?:`)
+		at := name.FindStringIndex(text)
 		if at != nil {
 			return 1 + strings.Count(text[:at[1]], "\n")
 		}
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -1,4 +1,5 @@
-// Package check counts the rules from what reached clients and nodes, and never from what a broker says of itself.
+// Package check counts the rules from what reached clients and nodes, and never from what a broker says of
+// itself.
 package check
 
 import (
@@ -20,12 +21,12 @@
 
 	Lost         int `json:"lost"`          // no final answer by the deadline, or more than one
 	BindTwice    int `json:"bind_twice"`    // districts of a part that must not run twice that ran twice
-	Overlaps     int `json:"overlaps"`      // two attempts out at once, or a node that executed what another held
+	Overlaps     int `json:"overlaps"`      // two attempts at once, or executed by who did not hold it
 	FalselyWhole int `json:"falsely_whole"` // marked whole and not
 	Short        int `json:"short"`         // answered from less than the least share
 	WrongValue   int `json:"wrong_value"`   // a value that was not made for it
 	CountedTwice int `json:"counted_twice"` // districts that two values stand for
-	DrainLate    int `json:"drain_late"`    // new work to a draining node later than 1 s after the broker was told
+	DrainLate    int `json:"drain_late"`    // new work later than 1 s after a drain was told
 	ColdFallen   int `json:"cold_fallen"`   // cold nodes pushed over
 }
 
@@ -88,7 +89,8 @@
 
 // New makes a checker.
 func New() *Checker {
-	return &Checker{asks: map[string]*Ask{}, ran: map[string][]slicemap.Range{}, out: map[string][]slicemap.Range{},
+	return &Checker{asks: map[string]*Ask{}, ran: map[string][]slicemap.Range{},
+		out:  map[string][]slicemap.Range{},
 		told: map[[2]string]float64{}}
 }
 
@@ -224,7 +226,8 @@
 	}
 }
 
-// Ran notes that a node has begun a part. holds tells whether it held the districts at its epoch, by the truth.
+// Ran notes that a node has begun a part. holds tells whether it held the districts at its epoch, by the
+// truth.
 func (c *Checker) Ran(node, id string, r slicemap.Range, once, holds bool) {
 	if !holds {
 		c.breach(&c.Overlaps, "%s executed %s %v, which another held", node, id, r)
--- a/internal/lab/exp/exp.go
+++ b/internal/lab/exp/exp.go
@@ -179,7 +179,8 @@
 		MaxRetryAfter: 1000, DrainGrace: 1000, ColdFrom: e.Node.ColdFrom, ColdFor: e.Node.Warm,
 		FallMultiple: e.Node.FallMultiple, FallFor: e.Node.FallFor, AnswerGrace: 20}
 	for _, c := range e.Classes {
-		k := balance.Class{Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.Late, Floor: c.Floor, Need: 1,
+		k := balance.Class{Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.Late, Floor: c.Floor,
+			Need:         1,
 			PartialWorth: c.Partial}
 		if c.Once() && e.Arm != Naive {
 			k.Effect = balance.Unsafe
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -1,6 +1,6 @@
-// Package model is a rate node without I/O and clock: cores that serve parts in turn, a waiting room, a cold start
-// that may end in falling over, troubles, and the slices that it holds by its own epoch. Both drivers of the lab
-// play it, one in virtual time and one behind sockets.
+// Package model is a rate node without I/O and clock: cores that serve parts in turn, a waiting room, a cold
+// start that may end in falling over, troubles, and the slices that it holds by its own epoch. Both drivers
+// of the lab play it, one in virtual time and one behind sockets.
 package model
 
 import (
@@ -137,8 +137,8 @@
 // Out is how many parts it has.
 func (n *Node) Out() int { return len(n.queue) + len(n.running) }
 
-// Arrive takes a part. end tells at once what becomes of it, or None if it will begin or wait; then done is when
-// it ends, 0 while it waits.
+// Arrive takes a part. end tells at once what becomes of it, or None if it will begin or wait; then done is
+// when it ends, 0 while it waits.
 func (n *Node) Arrive(now float64, j *Job) (end End, done float64) {
 	j.Arrived = now
 	n.press(now, j.Work)
@@ -191,8 +191,8 @@
 	return now + took
 }
 
-// Finish ends a part whose time has come. Of those that wait the next one begins and ends at done; moved are those
-// whose districts have been handed over while they waited: they never ran.
+// Finish ends a part whose time has come. Of those that wait the next one begins and ends at done; moved are
+// those whose districts have been handed over while they waited: they never ran.
 func (n *Node) Finish(now float64, j *Job) (end End, moved []*Job, next *Job, done float64) {
 	if j.Done || n.Trouble == Down || n.Fallen {
 		return None, nil, nil, 0
--- a/internal/lab/result/charts.go
+++ b/internal/lab/result/charts.go
@@ -32,8 +32,8 @@
 	chartHigh = 9 * vg.Centimeter
 )
 
-// WriteSeries keeps the course of a run: series.csv, and charts of what was answered, refused and failed in each
-// second and of worth so far.
+// WriteSeries keeps the course of a run: series.csv, and charts of what was answered, refused and failed in
+// each second and of worth so far.
 func WriteSeries(dir string, points []Point) error {
 	f, err := os.Create(filepath.Join(dir, "series.csv"))
 	if err != nil {
@@ -63,7 +63,8 @@
 		return out
 	}
 	if err := plotutil.AddLines(ends, "answered", rate(func(p Point) int { return p.Answered }),
-		"refused", rate(func(p Point) int { return p.Refused }), "failed", rate(func(p Point) int { return p.Failed }),
+		"refused", rate(func(p Point) int { return p.Refused }), "failed",
+		rate(func(p Point) int { return p.Failed }),
 		"changes of the map", rate(func(p Point) int { return p.Changes })); err != nil {
 		return err
 	}
@@ -72,7 +73,8 @@
 		return err
 	}
 	worth := plot.New()
-	worth.Title.Text, worth.X.Label.Text, worth.Y.Label.Text = "Worth in time over worth asked, so far", "s", "share"
+	worth.Title.Text, worth.X.Label.Text, worth.Y.Label.Text = "Worth in time over worth asked, so far", "s",
+		"share"
 	var xy plotter.XYs
 	for _, p := range points {
 		xy = append(xy, plotter.XY{X: float64(p.Second), Y: p.Worth})
@@ -94,7 +96,8 @@
 		return nil
 	}
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Seeds by their worth", "worth in time over worth asked", "seeds"
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Seeds by their worth", "worth in time over worth asked",
+		"seeds"
 	h, err := plotter.NewHist(worth, min(40, len(worth)))
 	if err != nil {
 		return err
@@ -108,16 +111,17 @@
 <style>body{font-family:sans-serif;margin:2em;max-width:60em}td,th{padding:.1em .8em;text-align:right}
 td:first-child,th:first-child{text-align:left}.bad{color:#b00}img{max-width:100%}</style></head><body>
 <h1>{{.Summary.Name}}: {{.Summary.Arm}}, {{.Summary.Mode}}</h1>
-<p{{if .Summary.Broken}} class="bad"{{end}}>{{if .Summary.Broken}}Rules were broken {{.Summary.Broken}} times.{{else}}No
-rule was broken.{{end}} {{.Summary.Taken}} queries were taken: {{.Summary.Answered}} answered, {{.Summary.Refused}}
-refused, {{.Summary.Failed}} failed. Worth in time over worth asked: {{printf "%.4f" .Summary.Worth}}.</p>
+<p{{if .Summary.Broken}} class="bad"{{end}}>
+{{if .Summary.Broken}}Rules were broken {{.Summary.Broken}} times.{{else}}No rule was broken.{{end}}
+{{.Summary.Taken}} queries were taken: {{.Summary.Answered}} answered, {{.Summary.Refused}} refused,
+{{.Summary.Failed}} failed. Worth in time over worth asked: {{printf "%.4f" .Summary.Worth}}.</p>
 {{range .Summary.Notes}}<p class="bad">{{.}}</p>{{end}}
 {{range .Charts}}<p><img src="{{.}}" alt="{{.}}"></p>{{end}}
 <table><tr><th>figure</th><th>value</th></tr>
 {{range .Rows}}<tr><td>{{.Name}}</td><td>{{.Value}}</td></tr>
 {{end}}</table>
-{{if .Summary.Runs}}<h2>Seeds</h2><table><tr><th>seed</th><th>taken</th><th>answered</th><th>refused</th><th>failed</th>
-<th>changes</th><th>p99 ms</th><th>worth</th></tr>
+{{if .Summary.Runs}}<h2>Seeds</h2><table><tr><th>seed</th><th>taken</th><th>answered</th><th>refused</th>
+<th>failed</th><th>changes</th><th>p99 ms</th><th>worth</th></tr>
 {{range .Summary.Runs}}<tr><td>{{.Seed}}</td><td>{{.Taken}}</td><td>{{.Answered}}</td><td>{{.Refused}}</td>
 <td>{{.Failed}}</td><td>{{.Changes}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.4f" .Worth}}</td></tr>
 {{end}}</table>{{end}}
@@ -157,7 +161,8 @@
 
 // Compare is a table of two summaries' figures.
 func Compare(a, b Summary) string {
-	out := fmt.Sprintf("| figure | %s, %s | %s, %s | difference | ratio |\n| --- | --- | --- | --- | --- |\n", a.Name, a.Arm,
+	out := fmt.Sprintf("| figure | %s, %s | %s, %s | difference | ratio |\n| --- | --- | --- | --- | --- |\n",
+		a.Name, a.Arm,
 		b.Name, b.Arm)
 	x, y := a.Figures(), b.Figures()
 	for _, name := range a.names() {
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -122,7 +122,8 @@
 func (s Summary) Judge(bounds map[string]exp.Bound) (passed int, faults []string) {
 	figures := s.Figures()
 	if n := s.Broken(); n > 0 {
-		faults = append(faults, fmt.Sprintf("rules were broken %d times: %s", n, strings.Join(s.Notes[:min(3, len(s.Notes))], "; ")))
+		faults = append(faults, fmt.Sprintf("rules were broken %d times: %s", n, strings.Join(s.Notes[:min(3,
+			len(s.Notes))], "; ")))
 	} else {
 		passed++
 	}
@@ -198,7 +199,8 @@
 		f := strings.Split(line, "|")
 		fmt.Fprintf(&csv, "%s,%s\n", strings.TrimSpace(f[1]), strings.TrimSpace(f[2]))
 	}
-	for name, data := range map[string][]byte{"summary.json": append(text, '\n'), "summary.md": []byte(s.Table()),
+	for name, data := range map[string][]byte{"summary.json": append(text, '\n'),
+		"summary.md":  []byte(s.Table()),
 		"summary.csv": []byte(csv.String())} {
 		if err := os.WriteFile(filepath.Join(dir, name), data, 0o644); err != nil {
 			return err
--- a/internal/lab/world/clients.go
+++ b/internal/lab/world/clients.go
@@ -69,7 +69,8 @@
 
 func (h *httpClient) close() { h.c.CloseIdleConnections() }
 
-func (h *httpClient) ask(ctx context.Context, id, class string, wait time.Duration, q *core.Request) (core.Answer,
+func (h *httpClient) ask(ctx context.Context, id, class string, wait time.Duration,
+	q *core.Request) (core.Answer,
 	ending) {
 	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+h.addr+"/"+class, strings.NewReader(bodyOf(q)))
 	if err != nil {
@@ -135,7 +136,8 @@
 
 func (f *flightClient) close() { _ = f.cc.Close() }
 
-func (f *flightClient) ask(ctx context.Context, id, class string, wait time.Duration, q *core.Request) (core.Answer,
+func (f *flightClient) ask(ctx context.Context, id, class string, wait time.Duration,
+	q *core.Request) (core.Answer,
 	ending) {
 	ctx, cancel := context.WithTimeout(ctx, wait+60*time.Millisecond) // so that the broker's word comes first
 	defer cancel()
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -146,7 +146,8 @@
 	spoilt  bool // the broker must refuse it
 }
 
-// asked is a call to the catalogue. deliver may come twice, or never; fail tells that the call came to nothing.
+// asked is a call to the catalogue. deliver may come twice, or never; fail tells that the call came to
+// nothing.
 func (f *fleet) asked(c slicemap.Call, fail func(), deliver func(told)) {
 	s := f.sim
 	if s.net.Float64() < s.e.News.Lost { // nothing ever comes
@@ -313,7 +314,8 @@
 	return true
 }
 
-// each makes a change of the slices that hold districts and are being moved so: a split may have come between.
+// each makes a change of the slices that hold districts and are being moved so: a split may have come
+// between.
 func (f *fleet) each(r slicemap.Range, from, to string, kind slicemap.Kind) {
 	v := f.truth.Current()
 	for at := r.Lo; at < r.Hi; {
@@ -428,8 +430,8 @@
 	f.tell(n, balance.Ready)
 }
 
-// trouble lets something go wrong. As long as a part of the fleet is in trouble the rest is left alone, so that
-// most slices keep a sound holder.
+// trouble lets something go wrong. As long as a part of the fleet is in trouble the rest is left alone, so
+// that most slices keep a sound holder.
 func (f *fleet) trouble() {
 	s := f.sim
 	if s.now >= s.end {
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -60,7 +60,8 @@
 func (l *live) unix(at float64) int64 { return l.start.UnixMilli() + int64(at-origin) }
 
 // RunLive plays it against the built program on loopback. tick, if any, is called once a second.
-func (s *World) RunLive(ctx context.Context, o LiveOptions, tick func(second int, r result.Summary)) (result.Summary,
+func (s *World) RunLive(ctx context.Context, o LiveOptions, tick func(second int,
+	r result.Summary)) (result.Summary,
 	error) {
 	if s.e.Arm != exp.Follow {
 		return result.Summary{}, fmt.Errorf("arm %s: only %s is played live", s.e.Arm, exp.Follow)
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -65,7 +65,8 @@
 		return n, n > 0 && b.listed[n]
 	}})
 	var err error
-	b.core, err = core.New(s.e.Settings(b.index, b.m), b.seed+uint64(b.gen), core.Options{Clock: b, Log: b, Slices: b.m})
+	b.core, err = core.New(s.e.Settings(b.index, b.m), b.seed+uint64(b.gen), core.Options{Clock: b, Log: b,
+		Slices: b.m})
 	if err != nil {
 		panic(err) // an experiment that passed its checks
 	}
@@ -103,7 +104,8 @@
 // kill ends its process: what it held is void.
 func (b *virtual) kill() {
 	s := b.sim
-	b.moves, b.stats, b.kept = add(b.moves, b.core.Moves()), addStats(b.stats, b.m.Stats()), max(b.kept, b.most())
+	b.moves, b.stats, b.kept = add(b.moves, b.core.Moves()), addStats(b.stats, b.m.Stats()), max(b.kept,
+		b.most())
 	for _, q := range s.queries {
 		if q.b == broker(b) && q.gen == b.gen && !q.over {
 			s.check.Void(q.ask.ID)
@@ -416,5 +418,6 @@
 }
 
 func addStats(a, b slicemap.Stats) slicemap.Stats {
-	return slicemap.Stats{Moved: a.Moved + b.Moved, Disagree: a.Disagree + b.Disagree, Refused: a.Refused + b.Refused}
+	return slicemap.Stats{Moved: a.Moved + b.Moved, Disagree: a.Disagree + b.Disagree,
+		Refused: a.Refused + b.Refused}
 }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -1,7 +1,7 @@
 // Package world plays an experiment: nodes, the list of them, the catalogue with the true map, troubles and
-// clients, round brokers. In virtual time the brokers are the real core and decision module, with no socket and no
-// sleep, many in one process, and one seed gives one history on any machine. Live, they are processes, and the same
-// world stands behind sockets on loopback.
+// clients, round brokers. In virtual time the brokers are the real core and decision module, with no socket
+// and no sleep, many in one process, and one seed gives one history on any machine. Live, they are processes,
+// and the same world stands behind sockets on loopback.
 package world
 
 import (
@@ -204,7 +204,6 @@
 	b     broker
 	gen   int
 	over  bool
-	req   *core.Request
 }
 
 // arrive lets the next query come; arrivals do not wait for answers.
@@ -222,7 +221,8 @@
 	// The client's own idea of the slices is old.
 	v := s.fleet.seen(s.now - s.e.Client.Draw(s.load))
 	at, sum := v.At(s.load.IntN(v.Districts)), 0.0
-	q := &query{sim: s, class: c, due: s.now, first: true, ask: &check.Ask{Class: i, Once: c.Once(), Floor: c.Floor,
+	q := &query{sim: s, class: c, due: s.now, first: true, ask: &check.Ask{Class: i, Once: c.Once(),
+		Floor:    c.Floor,
 		Deadline: s.now + c.Deadline*(0.6+0.4*s.load.Float64())}}
 	for range min(n, v.Len()) {
 		w := 0.5 + s.load.Float64()
@@ -252,13 +252,13 @@
 		return
 	}
 	q.ask.ID = fmt.Sprintf("q%08d", s.byID)
-	r := &core.Request{Name: q.ask.ID, Class: q.ask.Class, Deadline: q.ask.Deadline, Repeat: !q.first, Epoch: epoch,
-		Text: []byte("x"), Client: q}
+	r := &core.Request{Name: q.ask.ID, Class: q.ask.Class, Deadline: q.ask.Deadline, Repeat: !q.first,
+		Epoch: epoch,
+		Text:  []byte("x"), Client: q}
 	for i, p := range q.ask.Parts {
 		r.Parts = append(r.Parts, core.Part{Shard: p.Shard, Weight: p.Weight, Hinted: true,
 			Cost: q.work[i] * (0.8 + 0.4*s.load.Float64())})
 	}
-	q.req = r
 	id := q.ask.ID
 	s.queries[id] = q
 	s.check.Asked(q.ask)
--- a/internal/leafs/frame.go
+++ b/internal/leafs/frame.go
@@ -37,8 +37,9 @@
 	return out
 }
 
-// appendPart adds one part to a Q frame: its line and the query's text. Where slices move, the list also tells
-// the epoch by which the part was routed and its districts: d=240,e=17,r=120-135, the last one not included.
+// appendPart adds one part to a Q frame: its line and the query's text. Where slices move, the list also
+// tells the epoch by which the part was routed and its districts: d=240,e=17,r=120-135, the last one not
+// included.
 func appendPart(out []byte, id string, a *core.Attempt, wait int, text []byte) []byte {
 	out = append(out, id...)
 	out = append(out, ' ')
--- a/internal/leafs/pool.go
+++ b/internal/leafs/pool.go
@@ -308,8 +308,8 @@
 	p.timer.Set(next)
 }
 
-// partID is the part's name on the wire. Where slices move, one may be asked for several ranges of districts by
-// one query, so the first district is part of the name.
+// partID is the part's name on the wire. Where slices move, one may be asked for several ranges of districts
+// by one query, so the first district is part of the name.
 func partID(a *core.Attempt) string {
 	out := appendInt(append([]byte(a.Request), '.'), a.Shard)
 	if a.Epoch > 0 {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,6 +1,6 @@
-// Package operator reads the operator's file: what an installation switches on beside the platform's settings.
-// It is Jsonnet, held against api/operator.schema.json, and read only where --operator or TERNSTAGE_OPERATOR
-// names it. Without one everything in it is off.
+// Package operator reads the operator's file: what an installation switches on beside the platform's
+// settings. It is Jsonnet, held against api/operator.schema.json, and read only where --operator or
+// TERNSTAGE_OPERATOR names it. Without one everything in it is off.
 package operator
 
 import (
--- a/internal/slicemap/change.go
+++ b/internal/slicemap/change.go
@@ -142,7 +142,8 @@
 	return nil
 }
 
-// split divides a slice. Where it is being moved, the move goes on for both halves: what is copied is districts.
+// split divides a slice. Where it is being moved, the move goes on for both halves: what is copied is
+// districts.
 func (e *edit) split(c Change, s *Slice) error {
 	if c.At <= s.Lo || c.At >= s.Hi {
 		return fault(s.ID, ErrRange, "a split of %v at %d", s.Range, c.At)
@@ -160,8 +161,8 @@
 	return nil
 }
 
-// merge joins two neighbours. Both must serve from the same holders: guards districts against being said to be
-// where they have not been copied to.
+// merge joins two neighbours. Both must serve from the same holders: guards districts against being said to
+// be where they have not been copied to.
 func (e *edit) merge(c Change, s *Slice) error {
 	o, err := e.slice(c.Other)
 	if err != nil {
--- a/internal/slicemap/fixed.go
+++ b/internal/slicemap/fixed.go
@@ -1,7 +1,8 @@
 package slicemap
 
 // Fixed is the layout of a deployment whose slices never move: shard s lies on cells (s+j) mod cells for j
-// below reach. The arithmetic stands here alone. Of settings that cannot be it says that nobody holds a shard.
+// below reach. The arithmetic stands here alone. Of settings that cannot be it says that nobody holds a
+// shard.
 type Fixed struct {
 	shards int
 	cells  [][]int // by group
--- a/internal/slicemap/follow.go
+++ b/internal/slicemap/follow.go
@@ -29,8 +29,8 @@
 )
 
 // Follow decides when a source of the map is asked and for what: a watch that goes on, the whole map where a
-// change could not be applied, a growing delay after failures, and one read at once, for all who tell of a newer
-// map together. One call is out at a time. It has no clock and no I/O.
+// change could not be applied, a growing delay after failures, and one read at once, for all who tell of a
+// newer map together. One call is out at a time. It has no clock and no I/O.
 type Follow struct {
 	o       FollowOptions
 	rng     uint64
@@ -114,8 +114,8 @@
 	}
 }
 
-// Refused tells that the call brought a map or a change that cannot be: the whole map is asked for, at once the
-// first time.
+// Refused tells that the call brought a map or a change that cannot be: the whole map is asked for, at once
+// the first time.
 func (f *Follow) Refused(now float64) {
 	again := f.whole
 	f.whole = true
--- a/internal/slicemap/map.go
+++ b/internal/slicemap/map.go
@@ -74,7 +74,8 @@
 		}
 	}
 	o.Versions = max(o.Versions, 2)
-	m := &Map{o: o, highest: -1, now: map[ID]*Slice{}, history: map[ID]Range{}, groups: map[string]int{}, sets: map[int]*set{}}
+	m := &Map{o: o, highest: -1, now: map[ID]*Slice{}, history: map[ID]Range{}, groups: map[string]int{},
+		sets: map[int]*set{}}
 	m.cur = newVersion(0, 0)
 	m.kept = []*Version{m.cur}
 	return m
@@ -98,8 +99,8 @@
 	Range
 }
 
-// Reset takes a whole map, or refuses it and stays as it was. It gives the slices that are in it no more. A map
-// of the epoch in use changes nothing.
+// Reset takes a whole map, or refuses it and stays as it was. It gives the slices that are in it no more. A
+// map of the epoch in use changes nothing.
 func (m *Map) Reset(w Whole) (retired []ID, err error) {
 	defer func() {
 		if err != nil {
@@ -116,7 +117,8 @@
 		return nil, fault(-1, ErrTooMany, "%d of %d", len(w.Slices), m.o.Slices)
 	}
 	if m.cur.Epoch > 0 && w.Districts != m.cur.Districts {
-		return nil, fault(-1, ErrRange, "%d districts, %d before: they are never divided", w.Districts, m.cur.Districts)
+		return nil, fault(-1, ErrRange, "%d districts, %d before: they are never divided", w.Districts,
+			m.cur.Districts)
 	}
 	v, err := build(w.Epoch, w.Districts, w.Slices, knownOf(w.Nodes))
 	if err != nil {
@@ -174,8 +176,9 @@
 	return func(n string) bool { return set[n] }
 }
 
-// Apply takes changes in their order, all or none. Those up to the epoch in use are passed over: news that comes
-// twice is no fault. nodes are what may hold slices; empty: any. It gives the slices that are in the map no more.
+// Apply takes changes in their order, all or none. Those up to the epoch in use are passed over: news that
+// comes twice is no fault. nodes are what may hold slices; empty: any. It gives the slices that are in the
+// map no more.
 func (m *Map) Apply(changes []Change, nodes []string) (retired []ID, err error) {
 	e := edit{known: knownOf(nodes), used: func(id ID) bool { return id <= m.highest }}
 	copied := *m.cur
@@ -276,8 +279,8 @@
 	m.sweep()
 }
 
-// sweep frees versions that no query is bound to. At the bound the oldest is let go though queries began on it:
-// they carry their own districts and weights, and lose only their place in the count of versions.
+// sweep frees versions that no query is bound to. At the bound the oldest is let go though queries began on
+// it: they carry their own districts and weights, and lose only their place in the count of versions.
 func (m *Map) sweep() {
 	m.kept = slices.DeleteFunc(m.kept, func(v *Version) bool { return v != m.cur && v.refs <= 0 })
 	for len(m.kept) > m.o.Versions {
@@ -337,8 +340,8 @@
 	return out
 }
 
-// Group numbers the set of nodes that may be sent a slice's parts; -1 if there is no such slice. It is part of
-// what the decision module asks; so are the methods below.
+// Group numbers the set of nodes that may be sent a slice's parts; -1 if there is no such slice. It is part
+// of what the decision module asks; so are the methods below.
 func (m *Map) Group(id ID) int {
 	if s := m.now[id]; s != nil {
 		return s.group
--- a/internal/slicemap/slicemap.go
+++ b/internal/slicemap/slicemap.go
@@ -1,6 +1,6 @@
-// Package slicemap is the map from districts to the nodes that hold them, while it changes: versions, changes,
-// lineage, and every decision about them. It has no I/O and no clock, and is not safe for concurrent use but for
-// a Version, which never changes and may be read by anybody.
+// Package slicemap is the map from districts to the nodes that hold them, while it changes: versions,
+// changes, lineage, and every decision about them. It has no I/O and no clock, and is not safe for concurrent
+// use but for a Version, which never changes and may be read by anybody.
 //
 // A district is the unit that is never divided. A slice is a range of districts with an id that is never used
 // again, so an id names the same districts for ever, also once its slice is retired. A version of the map is
@@ -73,8 +73,8 @@
 	group int
 }
 
-// Executors are the nodes that may be sent its parts at its epoch: its holders, with To in From's place once the
-// handover has begun. Exactly one of the two is among them.
+// Executors are the nodes that may be sent its parts at its epoch: its holders, with To in From's place once
+// the handover has begun. Exactly one of the two is among them.
 func (s *Slice) Executors() []string {
 	if s.State != HandingOver {
 		return s.Holders
@@ -152,8 +152,9 @@
 	Range
 }
 
-// Route appends to legs what holds the districts of r at this version: one leg where slice id still holds them
-// all, else one for each slice that holds some. It allocates nothing on that first path, where legs has room.
+// Route appends to legs what holds the districts of r at this version: one leg where slice id still holds
+// them all, else one for each slice that holds some. It allocates nothing on that first path, where legs has
+// room.
 func (v *Version) Route(legs []Leg, id ID, r Range) []Leg {
 	if s, ok := v.byID.Get(id); ok && s.Holds(r) {
 		return append(legs, Leg{id, r})
@@ -243,7 +244,8 @@
 	}
 	list = slices.Clone(list)
 	slices.SortFunc(list, func(a, b *Slice) int { return a.Lo - b.Lo })
-	byID, byLast := immutable.NewMapBuilder[ID, *Slice](hasher{}), immutable.NewSortedMapBuilder[int, *Slice](nil)
+	byID, byLast := immutable.NewMapBuilder[ID, *Slice](hasher{}), immutable.NewSortedMapBuilder[int,
+		*Slice](nil)
 	next := 0
 	for _, s := range list {
 		if err := s.check(districts, known); err != nil {
--- a/internal/slicemap/track.go
+++ b/internal/slicemap/track.go
@@ -12,9 +12,9 @@
 	Never                  // it may have run and must not run twice: nothing of it goes out again
 )
 
-// Again decides on a leg of which nothing is out: whether a further try is allowed, and against which slices of
-// the map in use. once tells that it must not run twice, mayHaveRun that an attempt is not proved never to have.
-// legs is what takes its place under Replace, appended to dst.
+// Again decides on a leg of which nothing is out: whether a further try is allowed, and against which slices
+// of the map in use. once tells that it must not run twice, mayHaveRun that an attempt is not proved never to
+// have. legs is what takes its place under Replace, appended to dst.
 func (m *Map) Again(dst []Leg, l Leg, once, mayHaveRun bool) (legs []Leg, v Verdict) {
 	if once && mayHaveRun {
 		return dst, Never
@@ -38,8 +38,8 @@
 	Read  uint64  // the source knows an epoch as new as this: read it; 0 for no need
 }
 
-// Routed is the epoch that a leg carries when it goes out: that of its slice's last change, so that a node which
-// is behind with news of other slices is not taken to be behind with this one.
+// Routed is the epoch that a leg carries when it goes out: that of its slice's last change, so that a node
+// which is behind with news of other slices is not taken to be behind with this one.
 func (m *Map) Routed(l Leg) uint64 {
 	if s := m.now[l.Slice]; s != nil {
 		return s.Since
@@ -47,8 +47,8 @@
 	return m.cur.Epoch
 }
 
-// AfterMoved decides on a leg that was routed by one epoch and refused by a node at another, for the n-th time
-// in a row, from 1. The module's own choice puts a node that was tried last.
+// AfterMoved decides on a leg that was routed by one epoch and refused by a node at another, for the n-th
+// time in a row, from 1. The module's own choice puts a node that was tried last.
 func (m *Map) AfterMoved(l Leg, routed, node uint64, n int) Wait {
 	m.stats.Moved++
 	s := m.now[l.Slice]
@@ -102,7 +102,8 @@
 	return fmt.Errorf("districts %v of the part %v are not out: they would count twice", r, u.Range)
 }
 
-// In takes a leg's answer and tells whether the part is whole. An error tells that its districts are in already.
+// In takes a leg's answer and tells whether the part is whole. An error tells that its districts are in
+// already.
 func (u *Unit) In(r Range) (whole bool, err error) {
 	if err := u.take(r); err != nil {
 		return false, err
--- a/test/api_test.go
+++ b/test/api_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// TestAsyncAPI holds real frames and calls for the list against their description.
-func TestAsyncAPI(t *testing.T) {
+// asyncSchemas gives the check of a value against a schema of the AsyncAPI description.
+func asyncSchemas(t *testing.T) func(schema string, v any) error {
 	text, err := os.ReadFile("../api/asyncapi.yaml")
 	require.NoError(t, err)
 	var raw any
@@ -84,11 +84,16 @@
 	require.NoError(t, err)
 	compiler := jsonschema.NewCompiler()
 	require.NoError(t, compiler.AddResource("asyncapi.json", doc))
-	is := func(schema string, v any) error {
+	return func(schema string, v any) error {
 		s, err := compiler.Compile("asyncapi.json#/components/schemas/" + schema)
 		require.NoError(t, err)
 		return s.Validate(v)
 	}
+}
+
+// TestAsyncAPI holds real frames and calls for the list against their description.
+func TestAsyncAPI(t *testing.T) {
+	is := asyncSchemas(t)
 	ns, p := site(t, on(swallow, 3), options{})
 	for i, q := range []query{{class: "quote", shards: []int{0, 1, 2}}, {class: "bind", shards: []int{3}}} {
 		q.id, q.tenant, q.wait = fmt.Sprintf("%016x", i+1), "gangasagar-life", time.Second
--- a/test/slices_test.go
+++ b/test/slices_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -13,6 +14,8 @@
 	"testing"
 	"time"
 
+	"github.com/getkin/kin-openapi/openapi3"
+	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/stretchr/testify/require"
 
 	"ternstage/internal/catalog"
@@ -153,6 +156,67 @@
 	p.stop()
 }
 
+// What passes between the broker and the catalogue, clients and nodes where slices move is as the descriptions say.
+func TestDescriptionsOfMovingSlices(t *testing.T) {
+	is := asyncSchemas(t)
+	first := ring(5)
+	first.Retired = []catalog.Gone{{ID: 40, Lo: 0, Hi: 20}}
+	first.Slices[1].State, first.Slices[1].From, first.Slices[1].To = "preparing", "s-1", "s-0"
+	c := newCatalogue(t, first)
+	operator := filepath.Join(t.TempDir(), "operator.jsonnet")
+	require.NoError(t, os.WriteFile(operator, []byte("{ slices: { catalogue: '"+c.addr+"', wait_ms: 300 } }"), 0o600))
+	ns := startNodes(t, wires[0], on(sendRaw, 3))
+	ns.raw = func(id string) []byte { return frame('A', id+" moved 4 -\n") }
+	t.Setenv("TERNSTAGE_OPERATOR", operator)
+	p := start(t, options{members: ns.members})
+	a := askHTTP(context.Background(), p, query{id: "q1", class: "quote", tenant: "gangasagar-life",
+		wait: time.Second, body: `{"shards":[{"shard":1,"weight":0.5},{"shard":2,"weight":0.5}],"q":"x","epoch":5}`})
+	require.Equal(t, "served", a.end)
+	a = askHTTP(context.Background(), p, query{id: "q2", class: "quote", tenant: "gangasagar-life",
+		wait: time.Second, body: `{"shards":[{"shard":40,"weight":1}],"q":"x"}`})
+	require.Equal(t, "served", a.end, "a retired name that the whole map tells of")
+	a = askHTTP(context.Background(), p, query{id: "q3", class: "bind", tenant: "gangasagar-life",
+		wait: 300 * time.Millisecond, body: `{"shards":[{"shard":3,"weight":1}],"q":"x"}`})
+	require.Equal(t, "refused", a.end, "no holder holds it: nothing ran, and it is told at once or in time")
+	require.Positive(t, a.after)
+	kinds := map[byte]string{'Q': "query", 'X': "abandon", 'A': "answer"}
+	moved := 0
+	for _, f := range ns.frames() {
+		require.NoError(t, is(kinds[f[0]], string(f)), "%q", f)
+		if strings.Contains(string(f), " moved 4 ") {
+			moved++
+		}
+	}
+	for _, s := range ns.all() {
+		if s.shard == 3 {
+			require.Contains(t, string(s.raw), "e=5,r=30-40")
+			moved++
+		}
+	}
+	require.Positive(t, moved)
+	text, err := json.Marshal(first)
+	require.NoError(t, err)
+	v, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	require.NoError(t, err)
+	require.NoError(t, is("map", v))
+	require.Eventually(t, func() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.calls) > 1 }, patience, time.Millisecond)
+	c.mu.Lock()
+	for _, target := range c.calls {
+		require.NoError(t, is("askSlices", target))
+	}
+	c.mu.Unlock()
+	doc, err := openapi3.NewLoader().LoadFromFile("../api/openapi.yaml")
+	require.NoError(t, err)
+	for target, schema := range map[string]string{"/_slices": "Slices"} {
+		r, err := http.Get("http://" + p.addr + target)
+		require.NoError(t, err)
+		var body any
+		require.NoError(t, json.NewDecoder(r.Body).Decode(&body))
+		_ = r.Body.Close()
+		require.NoError(t, doc.Components.Schemas[schema].Value.VisitJSON(body))
+	}
+}
+
 // Files that cannot be used are named with line and field; check says what would be done.
 func TestCheckAndOperatorsFile(t *testing.T) {
 	dir := t.TempDir()
