--- a/balance/balance.go
+++ b/balance/balance.go
@@ -470,6 +470,7 @@
 				return // the rules don't let it go yet
 			}
 		}
+		s.fifo[i][0] = nil // or a shard at rest holds its last queries
 		s.fifo[i] = s.fifo[i][1:]
 		s.deficit[i] -= c.cost
 	}
--- a/internal/lab/exp/exp.go
+++ b/internal/lab/exp/exp.go
@@ -58,6 +58,7 @@
 	Rate      float64 `json:"rate"`
 	Tries     int     `json:"tries"`
 	Retries   int     `json:"retries"`
+	History   int     `json:"history"` // retired slices that a broker remembers; 0: as many as the product
 	Client    Span    `json:"client_news_ms"`
 	Classes   []Class `json:"classes"`
 	Node      struct {
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -130,7 +130,11 @@
 			n := nodes[rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")]
 			n.Learn(rapid.SampledFrom(views).Draw(t, "view")) // news comes late, twice and out of order
 		},
-		"broker hears":    func(t *rapid.T) { broker = max(broker, rapid.IntRange(0, len(views)-1).Draw(t, "view")) },
+		"broker hears": func(t *rapid.T) { broker = max(broker, rapid.IntRange(0, len(views)-1).Draw(t, "view")) },
+		"node restarts": func(t *rapid.T) { // with whatever map it finds; what it had is gone
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "node")
+			nodes[id] = New(id, options, rapid.SampledFrom(views).Draw(t, "view"), 1)
+		},
 		"broker restarts": func(t *rapid.T) { broker = rapid.IntRange(0, broker).Draw(t, "old") },
 		"send": func(t *rapid.T) {
 			if settled {
--- a/internal/lab/world/sockets.go
+++ b/internal/lab/world/sockets.go
@@ -39,8 +39,9 @@
 
 // socket is a node's listener. It implements wire.
 type socket struct {
-	node *node
-	addr string
+	node   *node
+	addr   string
+	landed map[*landing]struct{} // parts that are out here; the world's goroutine's
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -48,7 +49,7 @@
 	grpc  *grpc.Server
 }
 
-func newSocket(n *node) *socket { return &socket{node: n} }
+func newSocket(n *node) *socket { return &socket{node: n, landed: map[*landing]struct{}{}} }
 
 // back listens, at the same address as before.
 func (k *socket) back() {
@@ -73,8 +74,12 @@
 	go k.accept(ln)
 }
 
-// down ends the listener and all connections.
+// down ends the listener and all connections. What was out on them is out no more from this moment: who hears
+// of the reset may send it elsewhere before any of our threads has.
 func (k *socket) down() {
+	for l := range k.landed {
+		l.leave()
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.ln == nil {
@@ -131,6 +136,7 @@
 	l.job = &model.Job{Query: query, Class: q.ask.Class, Once: q.ask.Once, Districts: r, Epoch: epoch,
 		Work: q.workOf(r), Context: l}
 	s.check.Sent(s.now, q.b.id(), n.ID)
+	n.wire.(*socket).landed[l] = struct{}{}
 	n.arrive(l.job)
 	return l
 }
@@ -147,6 +153,7 @@
 func (l *landing) leave() {
 	if l != nil && l.out {
 		l.out = false
+		delete(l.node.wire.(*socket).landed, l)
 		l.node.sim.check.Gone(l.job.Query, l.job.Districts)
 	}
 }
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -60,7 +60,7 @@
 func (b *virtual) start(cached *slicemap.Version) {
 	s := b.sim
 	b.listed = map[uint32]bool{}
-	b.m = slicemap.New(slicemap.Options{Number: func(name string) (uint32, bool) {
+	b.m = slicemap.New(slicemap.Options{History: s.e.History, Number: func(name string) (uint32, bool) {
 		n := s.fleet.byName[name]
 		return n, n > 0 && b.listed[n]
 	}})
--- a/internal/slicemap/slicemap_test.go
+++ b/internal/slicemap/slicemap_test.go
@@ -390,3 +390,13 @@
 		}
 	}
 }
+
+func TestPace(t *testing.T) {
+	p := Pace{AtOnce: 2, ColdFrom: 0.2, Warm: 1000}
+	require.True(t, p.May(5000, Target{Holds: 900}, 100, 100), "a warm node is no matter of pace")
+	require.False(t, p.May(5000, Target{Taking: 2}, 1, 100), "two at a time")
+	require.False(t, p.May(5000, Target{Started: 5000, Holds: 15}, 10, 100), "a cold one takes its share of capacity")
+	require.True(t, p.May(5000, Target{Started: 5000, Holds: 10}, 10, 100))
+	require.True(t, p.May(5500, Target{Started: 5000, Holds: 45}, 10, 100), "and more as it warms up")
+	require.True(t, p.May(6000, Target{Started: 5000, Holds: 500}, 10, 100))
+}
