--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -20,6 +20,7 @@
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
 	"ternstage/internal/reload"
+	"ternstage/internal/slicemap"
 )
 
 const (
@@ -92,7 +93,7 @@
 		return err
 	}
 	if m != nil {
-		source := catalog.NewSource(l, c, log, x.catalogue(cfg))
+		var source slicemap.Source = catalog.NewSource(l, c, log, x.catalogue(cfg))
 		c.OnHint(source.Hint)
 		defer x.cached(c, m, log)()
 		l.Post(source.Start)
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -49,6 +49,8 @@
 	timer  *loop.Timer
 }
 
+var _ slicemap.Source = (*Source)(nil)
+
 // NewSource makes a source that asks nothing until Start.
 func NewSource(l *loop.Loop, sink Sink, log *logs.Log, o Options) *Source {
 	s := &Source{loop: l, sink: sink, log: log, o: o, follow: slicemap.NewFollow(o.Follow, o.Seed),
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -226,6 +226,18 @@
 	return w
 }
 
+// retiredBefore is what was retired when a version was in use, as who kept that knows it.
+func (f *fleet) retiredBefore(v *slicemap.Version) (out []slicemap.Retiree) {
+	highest := 0
+	v.All(func(x *slicemap.Slice) bool { highest = max(highest, x.ID); return true })
+	for _, r := range f.truth.Retired(keptRetired) {
+		if r.ID < highest && v.Slice(r.ID) == nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // wholeOf is a version as it is told whole. Slices are copied: a map takes over what it is given.
 func wholeOf(v *slicemap.Version, retired []slicemap.Retiree) slicemap.Whole {
 	w := slicemap.Whole{Epoch: v.Epoch, Districts: v.Districts, Retired: retired,
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -75,7 +75,7 @@
 	b.follow = slicemap.NewFollow(slicemap.DefaultFollow, b.seed+uint64(b.gen))
 	b.Watch()
 	if cached != nil {
-		_ = b.core.TakeMap(wholeOf(cached, nil))
+		_ = b.core.TakeMap(wholeOf(cached, s.fleet.retiredBefore(cached)))
 	}
 	if s.e.Arm == exp.Follow {
 		b.core.OnHint(func(epoch uint64) {
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -201,6 +201,7 @@
 	due   float64   // when it was first to be sent
 	first bool
 	tries int
+	epoch uint64 // of the map by which its parts are named
 	b     broker
 	gen   int
 	over  bool
@@ -251,6 +252,7 @@
 	if q.b == nil {
 		return
 	}
+	q.epoch = epoch
 	q.ask.ID = fmt.Sprintf("q%08d", s.byID)
 	r := &core.Request{Name: q.ask.ID, Class: q.ask.Class, Deadline: q.ask.Deadline, Repeat: !q.first,
 		Epoch: epoch,
@@ -362,7 +364,7 @@
 	next.ask, next.first, next.over, next.b = ask, false, false, nil
 	next.tries++
 	ask.Deadline = q.due + q.class.Deadline
-	s.at(at, func() { s.send(&next, 0) })
+	s.at(at, func() { s.send(&next, next.epoch) })
 }
 
 // workOf is the work of districts of a query.
--- a/internal/slicemap/follow.go
+++ b/internal/slicemap/follow.go
@@ -28,6 +28,17 @@
 	deltaMost = 1000.0 // ms that changes may take, beyond the wait
 )
 
+// Source is where the map comes from: it follows something outside and hands maps and changes on, all on the
+// loop.
+type Source interface {
+	// Start begins to follow.
+	Start()
+	// Hint tells that a map of this epoch is known somewhere. Hints of one moment lead to one read.
+	Hint(epoch uint64)
+	// Close ends it.
+	Close()
+}
+
 // Follow decides when a source of the map is asked and for what: a watch that goes on, the whole map where a
 // change could not be applied, a growing delay after failures, and one read at once, for all who tell of a
 // newer map together. One call is out at a time. It has no clock and no I/O.
