--- a/balance/balance.go
+++ b/balance/balance.go
@@ -114,7 +114,7 @@
 		fleet: 1, median: 1, bestWay: 1, ways: map[int]stamp{}, room: never,
 		spare: answerSpare + s.Tick, hold: holdLeast, cores: 1, leastAim: never, wakeAt: never,
 		watchAt: never, jamAt: -never, tenants: make([]stamp, len(s.Tenants)),
-		holders: map[int][]*replica{}, shards: map[int]*shard{},
+		far:     map[int]*shard{},
 		tryTime: make([]float64, len(s.Classes))}
 	for _, c := range s.Classes {
 		b.maxWorth, b.leastAim = max(b.maxWorth, c.Worth), min(b.leastAim, c.Aim)
@@ -151,7 +151,8 @@
 		}
 	}
 	slices.SortFunc(b.order, func(x, y *replica) int { return cmp.Compare(x.Replica, y.Replica) })
-	b.holders, b.byCell = map[int][]*replica{}, map[int][]*replica{}
+	clear(b.holders)
+	b.byCell = map[int][]*replica{}
 	b.order = slices.DeleteFunc(b.order, func(r *replica) bool {
 		if kind != ListDelta && !seen[r.Replica] {
 			r.State = Gone
@@ -294,8 +295,8 @@
 		b.act.Watch()
 		b.watchAt = now + cmp.Or(b.s.AskWithin/2, math.Inf(1)) // should no answer come at all
 	}
-	for _, id := range b.active {
-		b.shards[id].tidy(now)
+	for _, s := range b.active {
+		s.tidy(now)
 	}
 	for _, q := range b.fresh {
 		if q.fresh = false; !q.ended {
@@ -310,8 +311,8 @@
 	}
 	b.queries = slices.DeleteFunc(b.queries, func(q *query) bool { return q.ended })
 	b.sortActive()
-	for _, id := range b.active {
-		b.release(now, id)
+	for _, s := range b.active {
+		b.release(now, s)
 	}
 	b.rest()
 	wake := b.watchAt
@@ -457,11 +458,10 @@
 }
 
 // release drains a shard's queues while some usable replica of it is at its usual latency.
-func (b *Balancer) release(now float64, shard int) {
-	s := b.shards[shard]
+func (b *Balancer) release(now float64, s *shard) {
 	for i := s.next(); i >= 0; i = s.next() {
 		c := s.fifo[i][0]
-		r, free := b.pick(now, shard, c.cost, c.parts[0], nil)
+		r, free := b.pick(now, s.id, c.cost, c.parts[0], nil)
 		if r == nil || !free {
 			return
 		}
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -366,7 +366,7 @@
 	}
 	g.b.place(g.now, p(0))
 	g.b.place(g.now, p(1, 7, 13, 19)) // the same holders: one call of cost 4
-	if len(g.b.shards[0].fifo[0]) != 1 || len(g.b.shards[1].fifo[3]) != 1 {
+	if len(g.b.near[0].fifo[0]) != 1 || len(g.b.near[1].fifo[3]) != 1 {
 		t.Fatal("one part belongs in the fastest queue, a call of four in the slowest")
 	}
 }
--- a/balance/layout.go
+++ b/balance/layout.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
@@ -56,25 +55,40 @@
 	}
 }
 
-// idleShards bounds how many shards with nothing queued keep the turn of their queues.
-const idleShards = 4096
+// nearShards bounds the ids of shards that keep the turn of their queues while nothing is queued at them.
+const nearShards = 4096
+
+// shard is the shard of an id if something was queued at it, else nil.
+func (b *Balancer) shard(id int) *shard {
+	if id < len(b.near) {
+		return b.near[id]
+	}
+	return b.far[id]
+}
 
 // queue is the shard's queues, to which something is about to be added.
 func (b *Balancer) queue(id int, now float64) *shard {
-	s := b.shards[id]
+	s := b.shard(id)
 	if s == nil {
-		s = &shard{}
-		b.shards[id] = s
+		s = &shard{id: id}
+		if id >= nearShards {
+			b.far[id] = s
+		} else {
+			if id >= len(b.near) {
+				b.near = append(b.near, make([]*shard, id+1-len(b.near))...)
+			}
+			b.near[id] = s
+		}
 	}
 	if !s.active {
-		s.active, s.oldest, b.active, b.sorted = true, now, append(b.active, id), false
+		s.active, s.oldest, b.active, b.sorted = true, now, append(b.active, s), false
 	}
 	return s
 }
 
 // held tells since when the oldest call of a shard is held.
 func (b *Balancer) held(id int, now float64) float64 {
-	if s := b.shards[id]; s != nil && s.active {
+	if s := b.shard(id); s != nil && s.active {
 		return s.oldest
 	}
 	return now
@@ -83,26 +97,25 @@
 // sortActive sorts the active shards, so that a turn does the same whatever came first.
 func (b *Balancer) sortActive() {
 	if !b.sorted {
-		slices.Sort(b.active)
+		slices.SortFunc(b.active, func(x, y *shard) int { return cmp.Compare(x.id, y.id) })
 		b.sorted = true
 	}
 }
 
 // rest takes the shards at which nothing is queued off the list of active ones.
 func (b *Balancer) rest() {
-	b.active = slices.DeleteFunc(b.active, func(id int) bool {
-		s := b.shards[id]
-		for _, f := range s.fifo {
-			if len(f) > 0 {
+	b.active = slices.DeleteFunc(b.active, func(s *shard) bool {
+		for i := range s.fifo {
+			if len(s.fifo[i]) > 0 {
 				return false
 			}
 		}
 		s.active = false
+		if s.id >= nearShards {
+			delete(b.far, s.id)
+		}
 		return true
 	})
-	if len(b.shards) > idleShards+len(b.active) {
-		maps.DeleteFunc(b.shards, func(_ int, s *shard) bool { return !s.active })
-	}
 }
 
 // holdersOf are the replicas that hold a shard, by id.
@@ -111,19 +124,23 @@
 	if g < 0 {
 		return nil
 	}
-	list, ok := b.holders[g]
-	if !ok {
-		for _, cell := range b.s.Layout.Cells(g) {
-			list = append(list, b.byCell[cell]...)
-		}
-		for _, id := range b.s.Layout.Replicas(g) {
-			if r := b.replicas[id]; r != nil && r.State != Gone {
-				list = append(list, r)
-			}
+	if g < len(b.holders) && b.holders[g] != nil {
+		return b.holders[g]
+	}
+	list := []*replica{}
+	for _, cell := range b.s.Layout.Cells(g) {
+		list = append(list, b.byCell[cell]...)
+	}
+	for _, id := range b.s.Layout.Replicas(g) {
+		if r := b.replicas[id]; r != nil && r.State != Gone {
+			list = append(list, r)
 		}
-		slices.SortFunc(list, func(x, y *replica) int { return cmp.Compare(x.Replica, y.Replica) })
-		b.holders[g] = list
 	}
+	slices.SortFunc(list, func(x, y *replica) int { return cmp.Compare(x.Replica, y.Replica) })
+	if g >= len(b.holders) {
+		b.holders = append(b.holders, make([][]*replica, g+1-len(b.holders))...)
+	}
+	b.holders[g] = list
 	return list
 }
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -16,11 +16,12 @@
 	replicas             map[uint32]*replica
 	order                []*replica // by id
 	byCell               map[int][]*replica
-	holders              map[int][]*replica // by the layout's group; made when first asked for
-	shards               map[int]*shard     // those that something was queued at
-	active               []int              // those at which something is, and perhaps a few more
-	sorted               bool               // active is in order
-	queries, fresh       []*query           // in order of arrival
+	holders              [][]*replica   // by the layout's group; made when first asked for, nil before
+	near                 []*shard       // by id, below nearShards: those that something was queued at
+	far                  map[int]*shard // the others, while something is
+	active               []*shard       // those at which something is queued
+	sorted               bool           // active is in order
+	queries, fresh       []*query       // in order of arrival
 	byID                 map[uint64]*query
 	byGroup              map[int]*query
 	parts                map[uint64]*part
@@ -103,6 +104,7 @@
 type shard struct {
 	fifo    [queues][]*call
 	deficit [queues]float64
+	id      int
 	turn    int
 	oldest  float64 // since when its oldest call is held, as of tidy
 	active  bool    // it is in the list of those
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,10 +96,7 @@
 	value    []byte
 	in       bool
 
-	leg  slicemap.Leg // where slices move
-	unit *unit
-	row  int    // answers in a row that the node does not hold it
-	wait uint64 // the epoch that ends its pause
+	*leg // nil where slices do not move
 }
 
 // late tells that the last attempt of a part is still waited for, or was in vain.
@@ -463,7 +460,7 @@
 	a := &Attempt{Request: p.req.Name, Shard: p.Shard, Text: p.req.Text, Node: node, Deadline: deadline,
 		Once: p.req.unsafe, part: p, no: len(p.attempts), sent: now, place: -1}
 	if c.slices != nil {
-		a.Districts, a.Epoch = p.leg.Range, c.slices.Routed(p.leg)
+		a.Districts, a.Epoch = p.Range, c.slices.Routed(p.Leg)
 	}
 	p.attempts = append(p.attempts, a)
 	c.out[[2]uint64{id, uint64(a.no)}] = a
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -23,6 +23,14 @@
 	number int
 }
 
+// leg is what a part is where slices move: districts of a unit that one slice holds.
+type leg struct {
+	slicemap.Leg
+	unit *unit
+	row  int    // answers in a row that the node does not hold it
+	wait uint64 // the epoch that ends its pause
+}
+
 // Moves counts what became of parts that a change of the map caught.
 type Moves struct {
 	Replaced uint64 `json:"parts_replaced"`  // went on as parts of other slices
@@ -99,18 +107,18 @@
 	var buf [8]slicemap.Leg
 	for _, u := range r.units {
 		for _, l := range c.slices.Route(buf[:0], u.Shard, u.Range) {
-			x := c.leg(r, u, l)
+			x := c.makeLeg(r, u, l)
 			c.module.PartArrived(now, x.told(int(r.id)))
 		}
 	}
 }
 
-// leg makes the part of a request that asks one slice for districts of a unit. Weight and cost go by
+// makeLeg makes the part of a request that asks one slice for districts of a unit. Weight and cost go by
 // districts.
-func (c *Core) leg(r *Request, u *unit, l slicemap.Leg) *part {
+func (c *Core) makeLeg(r *Request, u *unit, l slicemap.Leg) *part {
 	c.nextID++
 	share := float64(l.Size()) / float64(u.Size())
-	x := &part{Part: u.Part, id: c.nextID, req: r, leg: l, unit: u}
+	x := &part{Part: u.Part, id: c.nextID, req: r, leg: &leg{Leg: l, unit: u}}
 	x.Shard, x.Weight, x.Cost = l.Slice, u.Weight*share, u.Cost*share
 	r.parts, c.parts[x.id] = append(r.parts, x), x
 	c.bySlice[l.Slice] = append(c.bySlice[l.Slice], x)
@@ -125,14 +133,14 @@
 
 // unlink forgets a part's place under its slice.
 func (c *Core) unlink(p *part) {
-	if p.unit == nil {
+	if p.leg == nil {
 		return
 	}
-	list := c.bySlice[p.leg.Slice]
+	list := c.bySlice[p.Slice]
 	if list = slices.DeleteFunc(list, func(x *part) bool { return x == p }); len(list) == 0 {
-		delete(c.bySlice, p.leg.Slice)
+		delete(c.bySlice, p.Slice)
 	} else {
-		c.bySlice[p.leg.Slice] = list
+		c.bySlice[p.Slice] = list
 	}
 	if p.wait > 0 {
 		p.wait = 0
@@ -142,10 +150,10 @@
 
 // arrived counts a part that is in.
 func (c *Core) arrived(p *part) {
-	if p.unit == nil {
+	if p.leg == nil {
 		return
 	}
-	if _, err := p.unit.In(p.leg.Range); err != nil {
+	if _, err := p.unit.In(p.Range); err != nil {
 		c.moves.Twice++
 		c.log.Module(err.Error())
 	}
@@ -161,11 +169,11 @@
 	}
 	parts := slices.Clone(r.parts)
 	slices.SortFunc(parts, func(x, y *part) int {
-		return cmp.Or(cmp.Compare(x.unit.number, y.unit.number), cmp.Compare(x.leg.Lo, y.leg.Lo))
+		return cmp.Or(cmp.Compare(x.unit.number, y.unit.number), cmp.Compare(x.Lo, y.Lo))
 	})
 	for _, p := range parts {
 		if p.unit.Whole() {
-			a.Values = append(a.Values, Value{p.unit.Shard, p.leg.Range, p.value})
+			a.Values = append(a.Values, Value{p.unit.Shard, p.Range, p.value})
 		}
 	}
 }
@@ -173,12 +181,15 @@
 // pause is for how long a part that a node does not hold is not tried again.
 func (c *Core) pause(a *Attempt, o balance.Outcome) float64 {
 	p := a.part
-	if o != balance.Moved || c.slices == nil {
+	if p.leg == nil {
+		return 0
+	}
+	if o != balance.Moved {
 		p.row = 0
 		return 0
 	}
 	p.row++
-	w := c.slices.AfterMoved(p.leg, a.Epoch, a.NodeEpoch, p.row)
+	w := c.slices.AfterMoved(p.Leg, a.Epoch, a.NodeEpoch, p.row)
 	if w.Read > 0 {
 		c.hint(w.Read)
 	}
@@ -195,7 +206,7 @@
 // reroute puts parts of other slices in the place of one whose slice is no more, if a further try of it is
 // allowed and none is out.
 func (c *Core) reroute(now float64, p *part) {
-	if c.parts[p.id] != p || p.in || p.unit == nil {
+	if c.parts[p.id] != p || p.in || p.leg == nil {
 		return
 	}
 	mayHaveRun := false
@@ -206,14 +217,14 @@
 		mayHaveRun = mayHaveRun || a.how < balance.Full
 	}
 	var buf [8]slicemap.Leg
-	legs, verdict := c.slices.Again(buf[:0], p.leg, p.req.unsafe, mayHaveRun)
+	legs, verdict := c.slices.Again(buf[:0], p.Leg, p.req.unsafe, mayHaveRun)
 	if verdict != slicemap.Replace {
 		return
 	}
 	r, u := p.req, p.unit
 	parts, told := make([]*part, 0, len(legs)), make([]balance.Part, 0, len(legs))
 	for _, l := range legs {
-		x := c.leg(r, u, l)
+		x := c.makeLeg(r, u, l)
 		x.attempts = slices.Clone(p.attempts)
 		parts, told = append(parts, x), append(told, x.told(int(r.id)))
 	}
@@ -228,7 +239,7 @@
 		}
 		return
 	}
-	if err := u.Replace(p.leg.Range, legs); err != nil {
+	if err := u.Replace(p.Range, legs); err != nil {
 		panic(err) // the map's own route of the same districts
 	}
 	drop(p)
--- a/internal/slicemap/map.go
+++ b/internal/slicemap/map.go
@@ -59,7 +59,7 @@
 	order   []ID // of history, oldest first
 	groups  map[string]int
 	sets    map[int]*set
-	next    int // group
+	free    []int // numbers of groups that are no more, to be used again: the module keeps a row of them
 	stats   Stats
 }
 
@@ -239,8 +239,11 @@
 	key := strings.Join(names, "\x00")
 	g, ok := m.groups[key]
 	if !ok {
-		g = m.next
-		m.next++
+		if n := len(m.free); n > 0 {
+			g, m.free = m.free[n-1], m.free[:n-1]
+		} else {
+			g = len(m.sets)
+		}
 		m.groups[key], m.sets[g] = g, &set{key: key, names: names}
 	}
 	m.sets[g].used++
@@ -255,6 +258,7 @@
 	if x.used--; x.used == 0 {
 		delete(m.groups, x.key)
 		delete(m.sets, s.group)
+		m.free = append(m.free, s.group)
 	}
 }
 
