--- /dev/null
+++ b/internal/complete/complete.go
@@ -0,0 +1,212 @@
+// Package complete says how complete an answer is: which districts are in and which are missing and why, which ranks are
+// certain, and between what an aggregate lies. It has no I/O and no clock, and claims nothing that it cannot know.
+package complete
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"ternstage/internal/merge"
+	"ternstage/internal/slicemap"
+)
+
+// Why tells why districts are missing.
+type Why uint8
+
+// The reasons.
+const (
+	Refused  Why = iota // turned away, or never sent
+	TimedOut            // no answer in time
+	Failed              // the node failed, or its connection
+	Moved               // no node held them
+	Spoilt              // what came cannot be combined
+	Older               // only an older data version than the page before
+)
+
+var whyNames = [...]string{"refused", "timed-out", "failed", "moved", "spoilt", "older-version"}
+
+// String names the reason as answers do.
+func (w Why) String() string { return whyNames[w] }
+
+// Part is districts of a query that are in or missing together, with their share of its weight as it began.
+type Part struct {
+	Districts slicemap.Range
+	Weight    float64
+	In        bool
+	Version   uint64 // of the data that was read; of a missing part the newest that anybody has told of, 0 for none
+	Since     uint64 // epoch of the last change of the slice that holds them
+	Why       Why    // of a missing part
+	Fault     string // of a spoilt one
+}
+
+// Summary is what a node stated of districts at one data version, some time ago.
+type Summary struct {
+	Districts slicemap.Range
+	Version   uint64
+	Since     uint64        // epoch of the last change of the slice that it was of
+	Count     uint64        // of rows
+	Least     []merge.Value // the rank columns of its first row, in the order of the query; nil if it has no rows
+	Min, Max  float64       // of the aggregated column
+	Sum       float64
+}
+
+// Holds tells whether a summary says anything of a missing part: it is of exactly these districts, as they are sliced
+// now, and of the newest data version that is known of. Anything else is worth nothing, and so is a part whose version
+// nobody knows.
+func (s *Summary) Holds(p Part) bool {
+	return s != nil && s.Districts == p.Districts && s.Since == p.Since && p.Version > 0 && s.Version >= p.Version
+}
+
+// Statement is how complete an answer is.
+type Statement struct {
+	Share   float64 // of weight that is in
+	Whole   bool
+	In      []Part
+	Missing []Part
+	parts   []Part
+	notes   map[slicemap.Range]*Summary
+}
+
+// slack is what sums of weights may fall short by, as the platform's rules allow.
+const slack = 1e-4
+
+// State makes the statement of a query's parts. need is the share that makes a whole answer.
+func State(parts []Part, summaries []*Summary, need float64) *Statement {
+	s := &Statement{parts: parts, notes: map[slicemap.Range]*Summary{}}
+	for _, x := range summaries {
+		if old := s.notes[x.Districts]; old == nil || old.Version < x.Version {
+			s.notes[x.Districts] = x
+		}
+	}
+	for _, p := range parts {
+		if p.In {
+			s.Share += p.Weight
+			s.In = append(s.In, p)
+		} else {
+			s.Missing = append(s.Missing, p)
+		}
+	}
+	order := func(a, b Part) int { return cmp.Compare(a.Districts.Lo, b.Districts.Lo) }
+	slices.SortFunc(s.In, order)
+	slices.SortFunc(s.Missing, order)
+	s.Whole = len(parts) > 0 && s.Share >= need-slack && len(s.Missing) == 0
+	return s
+}
+
+// Enough tells whether an answer may be given: its share is the class's floor or more, and what the client asked for if
+// that is stricter.
+func (s *Statement) Enough(floor, least float64) bool {
+	return len(s.In) > 0 && s.Share >= max(floor, least)-slack
+}
+
+// note is what holds of a missing part.
+func (s *Statement) note(p Part) *Summary {
+	if x := s.notes[p.Districts]; x.Holds(p) {
+		return x
+	}
+	return nil
+}
+
+// Certain tells of each place, in order, whether its rank is certain: no missing part could hold a row that comes before
+// it. Once one is not, none after it is.
+func (s *Statement) Certain(o *merge.Order, places []merge.Place) []bool {
+	out := make([]bool, len(places))
+	// The first place that a missing row could take bounds them all.
+	var first *merge.Place
+	for _, p := range s.Missing {
+		x := s.note(p)
+		if x == nil {
+			return out // it might hold anything
+		}
+		if x.Count == 0 {
+			continue
+		}
+		// The key of its first row is not known: any key of its first district may be.
+		least := merge.Place{Rank: x.Least, District: p.Districts.Lo}
+		if first == nil || o.Compare(least, *first) < 0 {
+			first = &least
+		}
+	}
+	for i, at := range places {
+		if out[i] = first == nil || o.Compare(at, *first) < 0; !out[i] {
+			break
+		}
+	}
+	return out
+}
+
+// Bound is between what a figure lies; unknown if nothing can be said.
+type Bound struct {
+	Known     bool
+	Low, High float64
+}
+
+// Exact tells that the figure is what was counted.
+func (b Bound) Exact() bool { return b.Known && b.Low == b.High }
+
+// Count is between what the count of all rows lies, of which so many are in.
+func (s *Statement) Count(in uint64) Bound {
+	b := Bound{true, float64(in), float64(in)}
+	for _, p := range s.Missing {
+		x := s.note(p)
+		if x == nil {
+			return Bound{}
+		}
+		b.Low, b.High = b.Low+float64(x.Count), b.High+float64(x.Count)
+	}
+	return b
+}
+
+// Sum is between what the sum lies. Where a summary's sum is no number its count, least and most bound it.
+func (s *Statement) Sum(in float64) Bound {
+	b := Bound{true, in, in}
+	for _, p := range s.Missing {
+		x := s.note(p)
+		switch {
+		case x == nil:
+			return Bound{}
+		case x.Count == 0:
+		case !math.IsNaN(x.Sum):
+			b.Low, b.High = b.Low+x.Sum, b.High+x.Sum
+		default:
+			b.Low, b.High = b.Low+float64(x.Count)*x.Min, b.High+float64(x.Count)*x.Max
+		}
+	}
+	if math.IsNaN(b.Low) || math.IsNaN(b.High) {
+		return Bound{}
+	}
+	return b
+}
+
+// Min is between what the least value lies, of which the least that is in is given; any tells whether one is in.
+func (s *Statement) Min(in float64, any bool) Bound {
+	return s.extreme(in, any, func(x *Summary) float64 { return x.Min }, func(a, b float64) bool { return a < b })
+}
+
+// Max is the same for the greatest.
+func (s *Statement) Max(in float64, any bool) Bound {
+	return s.extreme(in, any, func(x *Summary) float64 { return x.Max }, func(a, b float64) bool { return a > b })
+}
+
+func (s *Statement) extreme(in float64, any bool, of func(*Summary) float64, better func(a, b float64) bool) Bound {
+	for _, p := range s.Missing {
+		x := s.note(p)
+		if x == nil || x.Count > 0 && math.IsNaN(of(x)) {
+			return Bound{}
+		}
+		if x.Count > 0 && (!any || better(of(x), in)) {
+			in, any = of(x), true
+		}
+	}
+	return Bound{any, in, in}
+}
+
+// Mean is between what the mean lies.
+func (s *Statement) Mean(sum float64, count uint64) Bound {
+	n, t := s.Count(count), s.Sum(sum)
+	if !n.Known || !t.Known || n.Low == 0 {
+		return Bound{}
+	}
+	return Bound{true, t.Low / n.Low, t.High / n.Low}
+}
