--- a/internal/complete/complete.go
+++ b/internal/complete/complete.go
@@ -1,5 +1,6 @@
-// Package complete says how complete an answer is: which districts are in and which are missing and why, which ranks are
-// certain, and between what an aggregate lies. It has no I/O and no clock, and claims nothing that it cannot know.
+// Package complete says how complete an answer is: which districts are in and which are missing and why,
+// which ranks are certain, and between what an aggregate lies. It has no I/O and no clock, and claims nothing
+// that it cannot know.
 package complete
 
 import (
@@ -51,9 +52,9 @@
 	Sum       float64
 }
 
-// Holds tells whether a summary says anything of a missing part: it is of exactly these districts, as they are sliced
-// now, and of the newest data version that is known of. Anything else is worth nothing, and so is a part whose version
-// nobody knows.
+// Holds tells whether a summary says anything of a missing part: it is of exactly these districts, as they
+// are sliced now, and of the newest data version that is known of. Anything else is worth nothing, and so is
+// a part whose version nobody knows.
 func (s *Summary) Holds(p Part) bool {
 	return s != nil && s.Districts == p.Districts && s.Since == p.Since && p.Version > 0 && s.Version >= p.Version
 }
@@ -94,8 +95,8 @@
 	return s
 }
 
-// Enough tells whether an answer may be given: its share is the class's floor or more, and what the client asked for if
-// that is stricter.
+// Enough tells whether an answer may be given: its share is the class's floor or more, and what the client
+// asked for if that is stricter.
 func (s *Statement) Enough(floor, least float64) bool {
 	return len(s.In) > 0 && s.Share >= max(floor, least)-slack
 }
@@ -108,8 +109,8 @@
 	return nil
 }
 
-// Certain tells of each place, in order, whether its rank is certain: no missing part could hold a row that comes before
-// it. Once one is not, none after it is.
+// Certain tells of each place, in order, whether its rank is certain: no missing part could hold a row that
+// comes before it. Once one is not, none after it is.
 func (s *Statement) Certain(o *merge.Order, places []merge.Place) []bool {
 	out := make([]bool, len(places))
 	// The first place that a missing row could take bounds them all.
@@ -179,7 +180,8 @@
 	return b
 }
 
-// Min is between what the least value lies, of which the least that is in is given; any tells whether one is in.
+// Min is between what the least value lies, of which the least that is in is given; any tells whether one is
+// in.
 func (s *Statement) Min(in float64, any bool) Bound {
 	return s.extreme(in, any, func(x *Summary) float64 { return x.Min }, func(a, b float64) bool { return a < b })
 }
--- a/internal/cursor/cursor.go
+++ b/internal/cursor/cursor.go
@@ -1,5 +1,5 @@
-// Package cursor seals the place of a page, so that any broker with the key can serve the next page and nobody else can
-// read or make one. It has no I/O and no clock; times are Unix ms that the caller passes.
+// Package cursor seals the place of a page, so that any broker with the key can serve the next page and
+// nobody else can read or make one. It has no I/O and no clock; times are Unix ms that the caller passes.
 package cursor
 
 import (
@@ -136,7 +136,8 @@
 	return r, nil
 }
 
-// Seal makes the text of a cursor. One that would be longer than Most is an error: there is no next page then.
+// Seal makes the text of a cursor. One that would be longer than Most is an error: there is no next page
+// then.
 func (r *Ring) Seal(c *Cursor) (string, error) {
 	b := body{Epoch: c.Epoch, Next: c.Next, Spans: join(c.Spans), Query: c.Query[:], Tenant: []byte(c.Tenant),
 		Expires: c.Expires}
@@ -177,7 +178,8 @@
 	return out
 }
 
-// Open reads a cursor that a client gives back with a query. The error names what is wrong and reveals nothing else.
+// Open reads a cursor that a client gives back with a query. The error names what is wrong and reveals
+// nothing else.
 func (r *Ring) Open(text, tenant string, query [32]byte, now int64) (*Cursor, error) {
 	if len(text) > Most {
 		return nil, ErrForm
@@ -220,9 +222,9 @@
 	return c, nil
 }
 
-// Changed compares what the page before read with what this one did, by districts, whatever slices hold them now: those
-// that have come back, those that are gone, and those whose data is of another version. Page one would differ where any
-// of the three is not empty.
+// Changed compares what the page before read with what this one did, by districts, whatever slices hold them
+// now: those that have come back, those that are gone, and those whose data is of another version. Page one
+// would differ where any of the three is not empty.
 func (c *Cursor) Changed(now []Span) (back, gone, other []Span) {
 	for _, was := range c.Spans {
 		for _, is := range now {
--- a/internal/merge/aggregate.go
+++ b/internal/merge/aggregate.go
@@ -20,7 +20,8 @@
 // exactBits hold any sum of float64 exactly: exponents from -1074 to 1023, and 2^64 of them.
 const exactBits = 2200
 
-// Partial is the aggregates of one column over some rows of a group. Those of several slices combine in any order.
+// Partial is the aggregates of one column over some rows of a group. Those of several slices combine in any
+// order.
 type Partial struct {
 	Column   Column
 	Count    uint64 // of rows with a value
@@ -81,7 +82,8 @@
 	return sum, (a > 0 && b > 0 && sum < 0) || (a < 0 && b < 0 && sum >= 0)
 }
 
-// Combine takes another slice's aggregates in. What cannot be combined is an error that names it, and changes nothing.
+// Combine takes another slice's aggregates in. What cannot be combined is an error that names it, and changes
+// nothing.
 func (p *Partial) Combine(o *Partial) error {
 	if err := (Schema{p.Column}).Same(Schema{o.Column}); err != nil {
 		return err
@@ -166,8 +168,8 @@
 
 const sketchMost = 64 << 10 // bytes of a sketch that a node may send
 
-// Restore makes aggregates of what a node sent. A sketch that cannot be read is an error, also where the library would
-// not survive it.
+// Restore makes aggregates of what a node sent. A sketch that cannot be read is an error, also where the
+// library would not survive it.
 func Restore(c Column, count uint64, sum, least, most Value, quantile, distinct []byte) (p *Partial, err error) {
 	defer func() {
 		if e := recover(); e != nil {
@@ -209,9 +211,9 @@
 	return p, nil
 }
 
-// restoreQuantiles takes the sketch of a node. It is read into a store that grows with its bins and not with how far
-// these lie apart, and only bins that values can have come to the sketch that is merged. Guards the broker against 85
-// bytes that made the usual store ask for 1.2 TB: the fuzzer's find, kept under testdata.
+// restoreQuantiles takes the sketch of a node. It is read into a store that grows with its bins and not with
+// how far these lie apart, and only bins that values can have come to the sketch that is merged. Guards the
+// broker against 85 bytes that made the usual store ask for 1.2 TB: the fuzzer's find, kept under testdata.
 func (p *Partial) restoreQuantiles(text []byte, count uint64) error {
 	s, err := ddsketch.DecodeDDSketch(bytes.Clone(text), store.SparseStoreConstructor, p.quantile.IndexMapping)
 	if err != nil {
@@ -244,7 +246,8 @@
 	return nil
 }
 
-// Groups are aggregates by group: the values of the group's columns, and a partial for each aggregated column.
+// Groups are aggregates by group: the values of the group's columns, and a partial for each aggregated
+// column.
 type Groups struct {
 	columns []Column
 	most    int
--- a/internal/merge/rank.go
+++ b/internal/merge/rank.go
@@ -22,8 +22,8 @@
 	Values   []Value
 }
 
-// Order is the total order of rows: the rank columns, then the district, then the key. The last two are the row's
-// own and not the slice's, so that the order is the same however districts are sliced.
+// Order is the total order of rows: the rank columns, then the district, then the key. The last two are the
+// row's own and not the slice's, so that the order is the same however districts are sliced.
 type Order struct {
 	schema Schema
 	at     []int
@@ -99,8 +99,8 @@
 	More      bool // it has rows after these
 }
 
-// Check names the first thing that is wrong with a batch, of which most rows were asked for, after a place or, if that
-// is nil, from the first. It is checked whole before any row of it is merged.
+// Check names the first thing that is wrong with a batch, of which most rows were asked for, after a place
+// or, if that is nil, from the first. It is checked whole before any row of it is merged.
 func (o *Order) Check(b *Batch, after *Place, most int) error {
 	if err := o.schema.Same(b.Schema); err != nil {
 		return err
@@ -146,8 +146,8 @@
 type Page struct {
 	Rows []Row
 	From []slicemap.Range // of each row, the districts that its slice was asked for
-	// Need are those who must be asked for more before the page can go on: all that they gave is in it, and they
-	// have more, which may come next.
+	// Need are those who must be asked for more before the page is final: what they have next may belong into
+	// it.
 	Need []slicemap.Range
 	More bool // there are rows after the page
 }
@@ -176,44 +176,37 @@
 	return x
 }
 
-// Merge puts batches that passed Check into one page of limit rows at most. It ends before the first row that a batch
-// with more to give could still precede, and names who must be asked. Memory is that of the page. The result is the
-// same in whatever order the batches stand and however the districts are cut.
+// Merge puts batches that passed Check into one page of limit rows at most. Where a batch has more to give
+// and all that it gave comes before the page's last row, or the page is not full, its next rows may belong
+// into the page: it is named under Need, and the rows are those of now. Nobody else can reach the page.
+// Memory is that of the page. The result is the same in whatever order the batches stand and however the
+// districts are cut.
 func (o *Order) Merge(batches []*Batch, limit int) Page {
 	h := &heads{o: o}
 	p := Page{}
 	for _, b := range batches {
+		p.More = p.More || b.More
 		if len(b.Rows) > 0 {
 			h.list = append(h.list, head{b, 0})
-		} else if b.More {
-			p.Need = append(p.Need, b.Districts)
 		}
 	}
 	heap.Init(h)
-	for len(p.Rows) < limit && h.Len() > 0 && len(p.Need) == 0 {
+	for len(p.Rows) < limit && h.Len() > 0 {
 		top := &h.list[0]
 		p.Rows, p.From = append(p.Rows, top.b.Rows[top.at]), append(p.From, top.b.Districts)
 		if top.at++; top.at < len(top.b.Rows) {
 			heap.Fix(h, 0)
-			continue
-		}
-		if top.b.More && len(p.Rows) < limit {
-			p.Need = append(p.Need, top.b.Districts)
-		} else if top.b.More {
-			p.More = true
+		} else {
+			heap.Pop(h)
 		}
-		heap.Pop(h)
 	}
-	if len(p.Need) > 0 {
-		// Others that have little left may be wanted as well: one round for all that can still reach the page.
-		left := limit - len(p.Rows)
-		for _, x := range h.list {
-			if x.b.More && len(x.b.Rows)-x.at < left {
-				p.Need = append(p.Need, x.b.Districts)
-			}
+	p.More = p.More || h.Len() > 0
+	for _, b := range batches {
+		n := len(b.Rows)
+		if limit > 0 && b.More && (n == 0 || len(p.Rows) < limit || o.rows(&b.Rows[n-1], &p.Rows[limit-1]) < 0) {
+			p.Need = append(p.Need, b.Districts)
 		}
-		slices.SortFunc(p.Need, func(a, b slicemap.Range) int { return cmp.Compare(a.Lo, b.Lo) })
 	}
-	p.More = p.More || h.Len() > 0 || len(p.Need) > 0
+	slices.SortFunc(p.Need, func(a, b slicemap.Range) int { return cmp.Compare(a.Lo, b.Lo) })
 	return p
 }
--- a/internal/merge/value.go
+++ b/internal/merge/value.go
@@ -1,5 +1,5 @@
-// Package merge puts ranked rows and partial aggregates of slices together. It has no I/O and no clock. What cannot be
-// combined fails the slice that brought it, by name, and nothing of that slice is in the result.
+// Package merge puts ranked rows and partial aggregates of slices together. It has no I/O and no clock. What
+// cannot be combined fails the slice that brought it, by name, and nothing of that slice is in the result.
 package merge
 
 import (
@@ -56,8 +56,8 @@
 	return "null"
 }
 
-// Compare orders two values of one kind. Null comes first; NaN is no value that can be ordered and must have been
-// turned away.
+// Compare orders two values of one kind. Null comes first; NaN is no value that can be ordered and must have
+// been turned away.
 func Compare(a, b Value) int {
 	if a.Kind != b.Kind {
 		return cmp.Compare(a.Kind, b.Kind)
