The merge clause: what a client may ask, checked field by field, and alike however it is written

Need: a client states rank, page, aggregates and filter; a cursor must be bound to what was asked and not to how it was written or to a page's size.

--- a/internal/complete/complete.go
+++ b/internal/complete/complete.go
@@ -35,7 +35,7 @@
 	Districts slicemap.Range
 	Weight    float64
 	In        bool
-	Version   uint64 // of the data that was read; of a missing part the newest that anybody has told of, 0 for none
+	Version   uint64 // of the data that was read; of a missing part the newest that is known of, 0 for none
 	Since     uint64 // epoch of the last change of the slice that holds them
 	Why       Why    // of a missing part
 	Fault     string // of a spoilt one
@@ -47,7 +47,7 @@
 	Version   uint64
 	Since     uint64        // epoch of the last change of the slice that it was of
 	Count     uint64        // of rows
-	Least     []merge.Value // the rank columns of its first row, in the order of the query; nil if it has no rows
+	Least     []merge.Value // the rank columns of its first row; nil if it has no rows
 	Min, Max  float64       // of the aggregated column
 	Sum       float64
 }
@@ -56,7 +56,8 @@
 // are sliced now, and of the newest data version that is known of. Anything else is worth nothing, and so is
 // a part whose version nobody knows.
 func (s *Summary) Holds(p Part) bool {
-	return s != nil && s.Districts == p.Districts && s.Since == p.Since && p.Version > 0 && s.Version >= p.Version
+	return s != nil && s.Districts == p.Districts && s.Since == p.Since && p.Version > 0 &&
+		s.Version >= p.Version
 }
 
 // Statement is how complete an answer is.
@@ -183,15 +184,19 @@
 // Min is between what the least value lies, of which the least that is in is given; any tells whether one is
 // in.
 func (s *Statement) Min(in float64, any bool) Bound {
-	return s.extreme(in, any, func(x *Summary) float64 { return x.Min }, func(a, b float64) bool { return a < b })
+	return s.extreme(in, any, func(x *Summary) float64 { return x.Min }, less)
 }
 
 // Max is the same for the greatest.
 func (s *Statement) Max(in float64, any bool) Bound {
-	return s.extreme(in, any, func(x *Summary) float64 { return x.Max }, func(a, b float64) bool { return a > b })
+	return s.extreme(in, any, func(x *Summary) float64 { return x.Max }, more)
 }
 
-func (s *Statement) extreme(in float64, any bool, of func(*Summary) float64, better func(a, b float64) bool) Bound {
+func less(a, b float64) bool { return a < b }
+func more(a, b float64) bool { return a > b }
+
+func (s *Statement) extreme(in float64, any bool, of func(*Summary) float64,
+	better func(a, b float64) bool) Bound {
 	for _, p := range s.Missing {
 		x := s.note(p)
 		if x == nil || x.Count > 0 && math.IsNaN(of(x)) {
--- a/internal/cursor/cursor.go
+++ b/internal/cursor/cursor.go
@@ -74,8 +74,10 @@
 
 var (
 	encoder = must(cbor.CoreDetEncOptions().EncMode())
-	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxNestedLevels: 6, MaxArrayElements: 16384, MaxMapPairs: 64, IndefLength: cbor.IndefLengthForbidden}.DecMode())
+	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		MaxNestedLevels:   6, MaxArrayElements: 16384, MaxMapPairs: 64,
+		IndefLength: cbor.IndefLengthForbidden}.DecMode())
 )
 
 func must[T any](v T, err error) T {
@@ -119,9 +121,10 @@
 	}
 	r := &Ring{aeads: map[string]cipher.AEAD{}, rand: rand}
 	for i, k := range keys {
-		if len(k.Name) < 1 || len(k.Name) > nameMost || len(k.Secret) != secret || slices.Contains(r.names, k.Name) {
-			return nil, fmt.Errorf("cursor key %d: a name of 1 to %d bytes, each once, and a secret of %d bytes", i, nameMost,
-				secret)
+		if len(k.Name) < 1 || len(k.Name) > nameMost || len(k.Secret) != secret ||
+			slices.Contains(r.names, k.Name) {
+			return nil, fmt.Errorf("cursor key %d: a name of 1 to %d bytes, each once, and a secret of %d bytes",
+				i, nameMost, secret)
 		}
 		block, err := aes.NewCipher(k.Secret)
 		if err != nil {
@@ -169,7 +172,8 @@
 // join puts neighbours of one version together.
 func join(spans []Span) (out []Span) {
 	for _, s := range spans {
-		if n := len(out) - 1; n >= 0 && out[n].Hi == s.Lo && out[n].Version == s.Version && out[n].Since == s.Since {
+		if n := len(out) - 1; n >= 0 && out[n].Hi == s.Lo && out[n].Version == s.Version &&
+			out[n].Since == s.Since {
 			out[n].Hi = s.Hi
 			continue
 		}
--- a/internal/fetch/plan.go
+++ b/internal/fetch/plan.go
@@ -1,6 +1,7 @@
-// Package fetch plans the reading of one page from many slices: how many rows to ask of each, whom to ask for more, whom
-// to wait for no longer, and when to answer with what is in. It has no I/O and no clock; times are ms that the caller
-// passes. Which replica is asked and whether an attempt is made again stays with the decision module.
+// Package fetch plans the reading of one page from many slices: how many rows to ask of each, whom to ask for
+// more, whom to wait for no longer, and when to answer with what is in. It has no I/O and no clock; times are
+// ms that the caller passes. Which replica is asked and whether an attempt is made again stays with the
+// decision module.
 package fetch
 
 import (
@@ -52,7 +53,8 @@
 	read      bool    // it was in once: what it gave stands, though more of it is out
 }
 
-// Ask is what a slice is to be asked for: so many rows in all from the page's place, of which so many are here.
+// Ask is what a slice is to be asked for: so many rows in all from the page's place, of which so many are
+// here.
 type Ask struct {
 	Districts  slicemap.Range
 	Rows, Have int
@@ -79,8 +81,8 @@
 	return p, asks
 }
 
-// first is how many rows each of n slices is asked for first: an even share of the page and some more, as most pages
-// then need a second round of a few slices only, and far less than a page of each is moved.
+// first is how many rows each of n slices is asked for first: an even share of the page and some more, as
+// most pages then need a second round of a few slices only, and far less than a page of each is moved.
 func (p *Plan) first(n int) int {
 	if n == 0 || p.o.Limit <= 0 {
 		return min(p.o.Limit, 1)
@@ -104,8 +106,9 @@
 	return nil
 }
 
-// Got takes the rows of a slice, which has so many in all from the page's place by now, and perhaps more. It tells
-// whether they are wanted: what comes from a slice that was dropped is not, or it would count and not be waited for.
+// Got takes the rows of a slice, which has so many in all from the page's place by now, and perhaps more. It
+// tells whether they are wanted: what comes from a slice that was dropped is not, or it would count and not
+// be waited for.
 func (p *Plan) Got(now float64, d slicemap.Range, rows int, more bool) bool {
 	x := p.find(d)
 	if x == nil || x.state != Out {
@@ -118,16 +121,16 @@
 	return true
 }
 
-// Lost tells that a slice cannot be had. If it was read before, what it gave must not stand either: the rows that
-// follow are not there, and a page that went past them would skip them.
+// Lost tells that a slice cannot be had. If it was read before, what it gave must not stand either: the rows
+// that follow are not there, and a page that went past them would skip them.
 func (p *Plan) Lost(d slicemap.Range) {
 	if x := p.find(d); x != nil && x.state != Dropped {
 		x.state = Missing
 	}
 }
 
-// Replace puts parts in the place of one whose slice was split or merged meanwhile: none of its rows stand, and all of
-// its districts are asked for anew.
+// Replace puts parts in the place of one whose slice was split or merged meanwhile: none of its rows stand,
+// and all of its districts are asked for anew.
 func (p *Plan) Replace(now float64, d slicemap.Range, by []slicemap.Range) []Ask {
 	i := slices.IndexFunc(p.parts, func(x *part) bool { return x.districts == d })
 	if i < 0 || p.parts[i].state == Dropped {
@@ -137,7 +140,8 @@
 	p.parts = slices.Delete(p.parts, i, i+1)
 	asks := make([]Ask, 0, len(by))
 	for _, r := range by {
-		x := &part{districts: r, weight: old.weight * float64(r.Size()) / float64(old.districts.Size()), rows: old.rows,
+		x := &part{districts: r, weight: old.weight * float64(r.Size()) / float64(old.districts.Size()),
+			rows:  old.rows,
 			asked: now}
 		p.parts = append(p.parts, x)
 		asks = append(asks, Ask{r, x.rows, 0})
@@ -145,7 +149,8 @@
 	return asks
 }
 
-// More asks those that the merge named for more rows: twice as many as before. Only they can still reach the page.
+// More asks those that the merge named for more rows: twice as many as before. Only they can still reach the
+// page.
 func (p *Plan) More(now float64, need []slicemap.Range) (asks []Ask) {
 	for _, d := range need {
 		x := p.find(d)
@@ -187,8 +192,9 @@
 	At       float64          // else ask again at this time at the latest
 }
 
-// Decide tells whether to wait. A late slice is dropped as soon as what is left reaches the floor and an answer in part is
-// worth more than what waiting brings; never below the floor, and none before it is late but for want of time.
+// Decide tells whether to wait. A late slice is dropped as soon as what is left reaches the floor and an
+// answer in part is worth more than what waiting brings; never below the floor, and none before it is late
+// but for want of time.
 func (p *Plan) Decide(now float64) Verdict {
 	in, could := p.shares()
 	if could < p.o.Floor-slack {
@@ -219,7 +225,8 @@
 	if !enough {
 		return v // below the floor nothing is dropped, however late it is
 	}
-	// Who is late is dropped only once all that is out is: as long as one is waited for, the others cost nothing.
+	// Who is late is dropped only once all that is out is: as long as one is waited for, the others cost
+	// nothing.
 	late := p.late()
 	for _, x := range out {
 		v.At = min(v.At, max(x.asked+late, now+1))
@@ -227,8 +234,8 @@
 			return v
 		}
 	}
-	// Waiting to the aim for slices that are late might make the answer whole; that they come is not to be counted on
-	// once they are as late again.
+	// Waiting to the aim for slices that are late might make the answer whole; that they come is not to be
+	// counted on once they are as late again.
 	if now < out[0].asked+2*late && p.o.Partial < 1 {
 		v.At = min(last, out[0].asked+2*late)
 		return v
--- a/internal/merge/aggregate.go
+++ b/internal/merge/aggregate.go
@@ -39,7 +39,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Partial{Column: c, floats: new(big.Float).SetPrec(exactBits), quantile: s, distinct: hyperloglog.New()}, nil
+	return &Partial{Column: c, floats: new(big.Float).SetPrec(exactBits), quantile: s,
+		distinct: hyperloglog.New()}, nil
 }
 
 // Add takes one value. Null counts for nothing. One that cannot be added changes nothing.
@@ -170,7 +171,8 @@
 
 // Restore makes aggregates of what a node sent. A sketch that cannot be read is an error, also where the
 // library would not survive it.
-func Restore(c Column, count uint64, sum, least, most Value, quantile, distinct []byte) (p *Partial, err error) {
+func Restore(c Column, count uint64, sum, least, most Value, quantile, distinct []byte) (
+	p *Partial, err error) {
 	defer func() {
 		if e := recover(); e != nil {
 			p, err = nil, fault(-1, ErrSketch, "%s: %v", c.Name, e)
--- /dev/null
+++ b/internal/merge/clause_test.go
@@ -0,0 +1,112 @@
+package merge
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const full = `{"rank":[{"column":"premium"},{"column":"risk","order":"desc"}],"page":{"size":20},
+	"aggregate":[{"name":"n","do":"count"},{"name":"p99","do":"quantile","of":"risk","q":0.99}],"group":["insurer"],
+	"filter":[{"column":"premium","op":"le","value":700},{"column":"insurer","op":"ne","value":"x"}],"least":0.9}`
+
+func TestClause(t *testing.T) {
+	c, err := Parse([]byte(full))
+	require.NoError(t, err)
+	require.Equal(t, []By{{"premium", false}, {"risk", true}}, c.By())
+	next, err := Parse([]byte(`{"least":0.9,"rank":[{"column":"premium","order":"asc"},{"order":"desc","column":"risk"}],
+		"page":{"size":50,"cursor":"abc"},"aggregate":[{"do":"count","name":"n"},{"name":"p99","do":"quantile","of":"risk",
+		"q":0.99}],"group":["insurer"],"filter":[{"column":"premium","op":"le","value":7e2},{"column":"insurer","op":"ne",
+		"value":"x"}]}`))
+	require.NoError(t, err)
+	again, err := Parse(next.Canonical())
+	require.ErrorIs(t, err, ErrClause, "a rank without its page is no clause")
+	require.Equal(t, c.Aggregate, again.Aggregate)
+	for text, field := range map[string]string{
+		`{}`:                          "neither rank nor aggregate",
+		`[`:                           "unexpected EOF",
+		`{"rank":[{"column":"a"}]} x`: "more than one object",
+		`{"rank":[{"column":"a"}]}`:   "page: a rank has a page",
+		`{"aggregate":[{"name":"n","do":"count"}],"page":{"size":1}}`:                               "page: a rank has a page",
+		`{"rank":[{"column":"a"},{"column":"a"}],"page":{}}`:                                        `rank[1].column: "a" stands twice`,
+		`{"rank":[{"column":"a","order":"up"}],"page":{}}`:                                          "rank[0].order",
+		`{"rank":[{"column":"a"}],"page":{"size":1001}}`:                                            "page.size",
+		`{"rank":[{"column":"a"}],"page":{"size":-1}}`:                                              "page.size",
+		`{"rank":[{"column":"a"}],"page":{},"group":["b"]}`:                                         "group: no aggregate",
+		`{"rank":[{"column":"a"}],"page":{},"least":1.5}`:                                           "least",
+		`{"aggregate":[{"name":"n","do":"sum"}]}`:                                                   "aggregate[0].of",
+		`{"aggregate":[{"name":"n","do":"median","of":"a"}]}`:                                       "aggregate[0].do",
+		`{"aggregate":[{"name":"n","do":"quantile","of":"a"}]}`:                                     "aggregate[0].q",
+		`{"aggregate":[{"name":"n","do":"sum","of":"a","q":0.5}]}`:                                  "aggregate[0].q",
+		`{"aggregate":[{"name":"n","do":"count"},{"name":"n","do":"count"}]}`:                       "aggregate[1].name",
+		`{"aggregate":[{"name":"n","do":"count"}],"filter":[{"column":"a","op":"in","value":1}]}`:   "filter[0].op",
+		`{"aggregate":[{"name":"n","do":"count"}],"filter":[{"column":"a","op":"eq","value":[1]}]}`: "filter[0].value",
+		`{"aggregate":[{"name":"n","do":"count"}],"filter":[{"column":"a","op":"eq"}]}`:             "filter[0].value",
+		`{"aggregate":[{"name":"n","do":"count"}],"order":1}`:                                       `unknown field "order"`,
+	} {
+		_, err := Parse([]byte(text))
+		require.ErrorIs(t, err, ErrClause, text)
+		require.Contains(t, err.Error(), field, text)
+	}
+}
+
+// A cursor is bound to what is asked, however it is written, and not to the size of a page.
+func TestCanonical(t *testing.T) {
+	same := func(a, b string) bool {
+		x, err := Parse([]byte(a))
+		require.NoError(t, err)
+		y, err := Parse([]byte(b))
+		require.NoError(t, err)
+		return string(x.Canonical()) == string(y.Canonical())
+	}
+	a := `{"rank":[{"column":"a"}],"page":{"size":5},"filter":[{"column":"b","op":"lt","value":1.50}]}`
+	require.True(t, same(a, `{"filter":[{"op":"lt","value": 1.5,"column":"b"}],"page":{"size":9,"cursor":"x"},"rank":[{"order":"asc","column":"a"}]}`))
+	require.False(t, same(a, `{"rank":[{"column":"a"}],"page":{"size":5},"filter":[{"column":"b","op":"le","value":1.5}]}`))
+	require.False(t, same(a, `{"rank":[{"column":"a","order":"desc"}],"page":{"size":5},"filter":[{"column":"b","op":"lt","value":1.5}]}`))
+}
+
+func TestTerms(t *testing.T) {
+	term := func(op, value string) Term { return Term{"a", op, []byte(value)} }
+	for _, c := range []struct {
+		t    Term
+		v    Value
+		want bool
+	}{
+		{term("le", "7"), IntOf(7), true}, {term("lt", "7"), IntOf(7), false}, {term("gt", "6.5"), IntOf(7), true},
+		{term("eq", "7"), FloatOf(7), true}, {term("eq", `"7"`), IntOf(7), false}, {term("ne", `"7"`), IntOf(7), false},
+		{term("ge", `"b"`), TextOf("c"), true}, {term("eq", "7"), Value{}, false}, {term("ne", "7"), Value{}, false},
+		{term("lt", "7"), FloatOf(math.NaN()), false}, {term("ne", "7"), FloatOf(math.NaN()), true},
+		{term("eq", "9007199254740993"), IntOf(9007199254740993), true},
+		{term("eq", "9007199254740993"), IntOf(9007199254740992), false},
+	} {
+		require.Equal(t, c.want, c.t.Holds(c.v), "%s %s %v", c.t.Op, c.t.Value, c.v)
+	}
+}
+
+// FuzzParse: a clause is an error or can be written alike, again and again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(full))
+	f.Add([]byte(`{"aggregate":[{"name":"n","do":"count"}],"filter":[{"column":"a","op":"eq","value":1e400}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := Parse(text)
+		if err != nil {
+			return
+		}
+		once := c.Canonical()
+		var again []byte
+		if c.Page == nil {
+			d, err := Parse(once)
+			if err != nil {
+				t.Fatalf("%s: %v", once, err)
+			}
+			again = d.Canonical()
+			if string(once) != string(again) {
+				t.Fatalf("%s\n%s", once, again)
+			}
+		}
+		for _, x := range c.Filter {
+			x.Holds(IntOf(1))
+		}
+	})
+}
