Rows of nodes over both wires: JSON and Arrow record batches, within bounds

Need: the merge takes batches; nodes send JSON over frames and record batches over Flight, and may send anything. Change: internal/rows reads and writes both forms, names the place at fault, and gives an endless list up at the first row that was not asked for.

--- /dev/null
+++ b/internal/rows/arrow.go
@@ -0,0 +1,178 @@
+package rows
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+
+	"ternstage/internal/merge"
+	"ternstage/internal/slicemap"
+)
+
+// The names of what a record batch's schema carries beside its columns.
+const (
+	metaVersion  = "version"
+	metaMore     = "more"
+	metaSummary  = "summary"
+	metaCurrency = "currency"
+	colDistrict  = "district"
+	colKey       = "key"
+)
+
+// FromArrow reads a node's record batch: the columns district (int32) and key (utf8), then int64, float64 and
+// utf8 ones, with the schema metadata version, more and summary, and a money column's field metadata
+// currency.
+func FromArrow(rec arrow.RecordBatch, districts slicemap.Range, since uint64, most int,
+	rank []string) (*Answer, error) {
+	s := rec.Schema()
+	if rec.NumRows() > int64(most) {
+		return nil, bad("%d rows, %d were asked for", rec.NumRows(), most)
+	}
+	if s.NumFields() < 2 || s.NumFields() > MostColumns+2 || s.Field(0).Name != colDistrict ||
+		s.Field(1).Name != colKey {
+		return nil, bad("the first columns are not district and key")
+	}
+	district, ok := rec.Column(0).(*array.Int32)
+	if !ok || district.NullN() > 0 {
+		return nil, bad("district: %v, not int32 without nulls", rec.Column(0).DataType())
+	}
+	key, ok := rec.Column(1).(*array.String)
+	if !ok || key.NullN() > 0 {
+		return nil, bad("key: %v, not utf8 without nulls", rec.Column(1).DataType())
+	}
+	a := &Answer{Batch: merge.Batch{Districts: districts, Rows: make([]merge.Row, rec.NumRows())}}
+	var err error
+	meta := s.Metadata()
+	get := func(name string) string {
+		v, _ := meta.GetValue(name)
+		return v
+	}
+	if a.Batch.Version, err = strconv.ParseUint(get(metaVersion), 10, 64); err != nil || a.Batch.Version == 0 {
+		return nil, bad("version %.20q", get(metaVersion))
+	}
+	if a.Batch.More, err = strconv.ParseBool(get(metaMore)); err != nil {
+		return nil, bad("more %.20q", get(metaMore))
+	}
+	columns := s.NumFields() - 2
+	for i := range a.Batch.Rows {
+		if len(key.Value(i)) > MostText {
+			return nil, bad("row %d: a key of %d bytes", i, len(key.Value(i)))
+		}
+		a.Batch.Rows[i] = merge.Row{District: int(district.Value(i)), Key: key.Value(i),
+			Values: make([]merge.Value, columns)}
+	}
+	for j := range columns {
+		f := s.Field(j + 2)
+		if a.Batch.Schema.Index(f.Name) >= 0 || f.Name == "" {
+			return nil, bad("column %.40q stands twice or has no name", f.Name)
+		}
+		currency, _ := f.Metadata.GetValue(metaCurrency)
+		kind, at := reader(rec.Column(j + 2))
+		if at == nil {
+			return nil, bad("column %.40q: %v", f.Name, f.Type)
+		}
+		a.Batch.Schema = append(a.Batch.Schema, merge.Column{Name: f.Name, Kind: kind, Currency: currency})
+		for i := range a.Batch.Rows {
+			v := at(i)
+			if len(v.Text) > MostText {
+				return nil, bad("row %d: %s: a text of %d bytes", i, f.Name, len(v.Text))
+			}
+			a.Batch.Rows[i].Values[j] = v
+		}
+	}
+	if text := get(metaSummary); text != "" {
+		var n note
+		if err := json.Unmarshal([]byte(text), &n); err != nil {
+			return nil, bad("summary: %v", err)
+		}
+		if a.Summary, err = n.read(a.Batch, since, rank); err != nil {
+			return nil, err
+		}
+	}
+	return a, nil
+}
+
+// reader is the kind of a column and how to read it; nil where it is none that can be merged.
+func reader(c arrow.Array) (merge.Kind, func(i int) merge.Value) {
+	null := func(read func(i int) merge.Value) func(i int) merge.Value {
+		return func(i int) merge.Value {
+			if c.IsNull(i) {
+				return merge.Value{}
+			}
+			return read(i)
+		}
+	}
+	switch c := c.(type) {
+	case *array.Int64:
+		return merge.Int, null(func(i int) merge.Value { return merge.IntOf(c.Value(i)) })
+	case *array.Float64:
+		return merge.Float, null(func(i int) merge.Value { return merge.FloatOf(c.Value(i)) })
+	case *array.String:
+		return merge.Text, null(func(i int) merge.Value { return merge.TextOf(c.Value(i)) })
+	}
+	return merge.Null, nil
+}
+
+// Arrow is an answer as FromArrow reads it. Whoever gets it releases it.
+func (a *Answer) Arrow() (arrow.RecordBatch, error) {
+	names, values := []string{metaVersion, metaMore}, []string{strconv.FormatUint(a.Batch.Version, 10),
+		strconv.FormatBool(a.Batch.More)}
+	if s := a.Summary; s != nil {
+		n := note{Count: s.Count, Min: number(s.Min), Max: number(s.Max), Sum: number(s.Sum)}
+		for _, v := range s.Least {
+			n.Least = append(n.Least, raw(v))
+		}
+		text, err := json.Marshal(n)
+		if err != nil {
+			return nil, err
+		}
+		names, values = append(names, metaSummary), append(values, string(text))
+	}
+	fields := []arrow.Field{{Name: colDistrict, Type: arrow.PrimitiveTypes.Int32},
+		{Name: colKey, Type: arrow.BinaryTypes.String}}
+	types := map[merge.Kind]arrow.DataType{merge.Int: arrow.PrimitiveTypes.Int64,
+		merge.Float: arrow.PrimitiveTypes.Float64,
+		merge.Text:  arrow.BinaryTypes.String}
+	for _, c := range a.Batch.Schema {
+		f := arrow.Field{Name: c.Name, Type: types[c.Kind], Nullable: true}
+		if c.Currency != "" {
+			f.Metadata = arrow.NewMetadata([]string{metaCurrency}, []string{c.Currency})
+		}
+		fields = append(fields, f)
+	}
+	meta := arrow.NewMetadata(names, values)
+	b := array.NewRecordBuilder(memory.DefaultAllocator, arrow.NewSchema(fields, &meta))
+	defer b.Release()
+	for i, r := range a.Batch.Rows {
+		if len(r.Values) != len(a.Batch.Schema) || r.District < 0 || r.District > math.MaxInt32 {
+			return nil, bad("row %d: %d values, district %d", i, len(r.Values), r.District)
+		}
+		b.Field(0).(*array.Int32Builder).Append(int32(r.District))
+		b.Field(1).(*array.StringBuilder).Append(r.Key)
+		for j, v := range r.Values {
+			switch f := b.Field(j + 2).(type) {
+			case *array.Int64Builder:
+				if v.Kind == merge.Int {
+					f.Append(v.Int)
+					continue
+				}
+			case *array.Float64Builder:
+				if v.Kind == merge.Float {
+					f.Append(v.Float)
+					continue
+				}
+			case *array.StringBuilder:
+				if v.Kind == merge.Text {
+					f.Append(v.Text)
+					continue
+				}
+			}
+			b.Field(j + 2).AppendNull()
+		}
+	}
+	return b.NewRecordBatch(), nil
+}
--- /dev/null
+++ b/internal/rows/rows.go
@@ -0,0 +1,296 @@
+// Package rows turns what nodes send into batches and back: JSON over frames, Arrow record batches over
+// Flight. It has no I/O. What does not have the form is an error that names the place; what is larger than
+// was asked for is given up at the first row too many, so that memory stays in its bound.
+package rows
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"unicode/utf8"
+
+	"ternstage/internal/complete"
+	"ternstage/internal/merge"
+	"ternstage/internal/slicemap"
+)
+
+// The bounds of what a node may send.
+const (
+	MostColumns = 64
+	MostText    = 4 << 10 // bytes of one text
+)
+
+// ErrForm is wrapped where something has not the form.
+var ErrForm = errors.New("the rows cannot be used")
+
+func bad(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrForm, fmt.Sprintf(format, args...))
+}
+
+// Answer is what a node gives for a part: a batch of rows, and what it states of all its rows.
+type Answer struct {
+	Batch   merge.Batch
+	Summary *complete.Summary // nil if it states none
+}
+
+// column is a column in the JSON form.
+type column struct {
+	Name     string `json:"name"`
+	Kind     string `json:"kind"` // int, float or text
+	Currency string `json:"currency,omitempty"`
+}
+
+// note is a summary in the JSON form; its version and districts are the answer's.
+type note struct {
+	Count uint64            `json:"count"`
+	Least []json.RawMessage `json:"least,omitempty"` // the rank columns of the first row
+	Min   *float64          `json:"min,omitempty"`
+	Max   *float64          `json:"max,omitempty"`
+	Sum   *float64          `json:"sum,omitempty"`
+}
+
+type head struct {
+	Version uint64   `json:"version"`
+	Schema  []column `json:"schema"`
+	More    bool     `json:"more"`
+	Summary *note    `json:"summary,omitempty"`
+}
+
+var kinds = map[string]merge.Kind{"int": merge.Int, "float": merge.Float, "text": merge.Text}
+
+func schemaOf(list []column) (merge.Schema, error) {
+	if len(list) > MostColumns {
+		return nil, bad("%d columns, %d at most", len(list), MostColumns)
+	}
+	var s merge.Schema
+	for i, c := range list {
+		k, ok := kinds[c.Kind]
+		if !ok || c.Name == "" || s.Index(c.Name) >= 0 {
+			return nil, bad("schema[%d]: name %.40q, kind %.10q", i, c.Name, c.Kind)
+		}
+		s = append(s, merge.Column{Name: c.Name, Kind: k, Currency: c.Currency})
+	}
+	return s, nil
+}
+
+// ParseJSON reads a node's answer:
+// {"version":7,"schema":[...],"rows":[[district,"key",value,...],...],"more":true, "summary":{...}}, the
+// schema before the rows. most is how many rows were asked for; rank are the places of the rank columns, by
+// which a summary's least values are read.
+func ParseJSON(text []byte, districts slicemap.Range, since uint64, most int, rank []string) (*Answer,
+	error) {
+	if !utf8.Valid(text) {
+		return nil, bad("not UTF-8")
+	}
+	a := &Answer{Batch: merge.Batch{Districts: districts}}
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return nil, bad("no object")
+	}
+	var h head
+	seen := map[string]bool{}
+	for d.More() {
+		t, err := d.Token()
+		if err != nil {
+			return nil, bad("%v", err)
+		}
+		name, _ := t.(string)
+		if seen[name] {
+			return nil, bad("%.20q stands twice", name)
+		}
+		seen[name] = true
+		switch name {
+		case "version":
+			err = d.Decode(&h.Version)
+		case "more":
+			err = d.Decode(&h.More)
+		case "summary":
+			err = d.Decode(&h.Summary)
+		case "schema":
+			if err = d.Decode(&h.Schema); err == nil {
+				a.Batch.Schema, err = schemaOf(h.Schema)
+			}
+		case "rows":
+			if !seen["schema"] {
+				return nil, bad("rows before their schema")
+			}
+			a.Batch.Rows, err = rowsOf(d, a.Batch.Schema, most)
+		default:
+			return nil, bad("name %.40q", name)
+		}
+		if err != nil && !errors.Is(err, ErrForm) {
+			err = bad("%s: %v", name, err)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		return nil, bad("%v", err)
+	}
+	if d.More() {
+		return nil, bad("something behind the object")
+	}
+	if !seen["schema"] || !seen["rows"] || h.Version == 0 {
+		return nil, bad("version, schema or rows missing")
+	}
+	a.Batch.Version, a.Batch.More = h.Version, h.More
+	var err error
+	a.Summary, err = h.Summary.read(a.Batch, since, rank)
+	return a, err
+}
+
+// rowsOf reads rows one by one: a list without end is given up at the first row too many.
+func rowsOf(d *json.Decoder, s merge.Schema, most int) ([]merge.Row, error) {
+	if t, err := d.Token(); err != nil || t != json.Delim('[') {
+		return nil, bad("rows: no list")
+	}
+	out := []merge.Row{}
+	for d.More() {
+		if len(out) == most {
+			return nil, bad("more than the %d rows that were asked for", most)
+		}
+		var raw []json.RawMessage
+		if err := d.Decode(&raw); err != nil {
+			return nil, bad("rows[%d]: %v", len(out), err)
+		}
+		if len(raw) != len(s)+2 {
+			return nil, bad("rows[%d]: %d values, not district, key and %d columns", len(out), len(raw), len(s))
+		}
+		var r merge.Row
+		if json.Unmarshal(raw[0], &r.District) != nil || json.Unmarshal(raw[1], &r.Key) != nil ||
+			len(r.Key) > MostText {
+			return nil, bad("rows[%d]: district %.20s, key %.40s", len(out), raw[0], raw[1])
+		}
+		r.Values = make([]merge.Value, len(s))
+		for i, c := range s {
+			v, err := valueOf(raw[i+2], c.Kind)
+			if err != nil {
+				return nil, bad("rows[%d]: %s: %v", len(out), c.Name, err)
+			}
+			r.Values[i] = v
+		}
+		out = append(out, r)
+	}
+	_, err := d.Token()
+	return out, err
+}
+
+// valueOf reads a value of a kind, or null. A float that JSON cannot write comes as "NaN": it is no number,
+// and the merge turns its row away if it is ranked by it.
+func valueOf(raw json.RawMessage, k merge.Kind) (merge.Value, error) {
+	text := string(bytes.TrimSpace(raw))
+	if text == "null" {
+		return merge.Value{}, nil
+	}
+	switch k {
+	case merge.Int:
+		var x int64
+		if err := json.Unmarshal(raw, &x); err != nil {
+			return merge.Value{}, fmt.Errorf("no integer of 64 bits: %.40s", text)
+		}
+		return merge.IntOf(x), nil
+	case merge.Float:
+		if text == `"NaN"` {
+			return merge.FloatOf(math.NaN()), nil
+		}
+		var x float64
+		if err := json.Unmarshal(raw, &x); err != nil {
+			return merge.Value{}, fmt.Errorf("no number: %.40s", text)
+		}
+		return merge.FloatOf(x), nil
+	}
+	var x string
+	if err := json.Unmarshal(raw, &x); err != nil || len(x) > MostText {
+		return merge.Value{}, fmt.Errorf("no text of %d bytes at most: %.40s", MostText, text)
+	}
+	return merge.TextOf(x), nil
+}
+
+// read makes a summary of what a node stated.
+func (n *note) read(b merge.Batch, since uint64, rank []string) (*complete.Summary, error) {
+	if n == nil {
+		return nil, nil
+	}
+	s := &complete.Summary{Districts: b.Districts, Version: b.Version, Since: since, Count: n.Count,
+		Min: math.NaN(),
+		Max: math.NaN(), Sum: math.NaN()}
+	for _, v := range []struct {
+		from *float64
+		to   *float64
+	}{{n.Min, &s.Min}, {n.Max, &s.Max}, {n.Sum, &s.Sum}} {
+		if v.from != nil {
+			*v.to = *v.from
+		}
+	}
+	if n.Count == 0 && len(n.Least) > 0 || n.Count > 0 && len(n.Least) != len(rank) || s.Min > s.Max {
+		return nil, bad("summary: %d least values of %d rank columns, %d rows, %v to %v", len(n.Least), len(rank),
+			n.Count,
+			s.Min, s.Max)
+	}
+	for i, raw := range n.Least {
+		at := b.Schema.Index(rank[i])
+		if at < 0 {
+			return nil, bad("summary: rank column %q is not there", rank[i])
+		}
+		v, err := valueOf(raw, b.Schema[at].Kind)
+		if err != nil || v.Kind == merge.Null || v.Kind == merge.Float && math.IsNaN(v.Float) {
+			return nil, bad("summary: least[%d]: %.40s", i, raw)
+		}
+		s.Least = append(s.Least, v)
+	}
+	return s, nil
+}
+
+func raw(v merge.Value) json.RawMessage {
+	switch {
+	case v.Kind == merge.Null:
+		return json.RawMessage("null")
+	case v.Kind == merge.Float && (math.IsNaN(v.Float) || math.IsInf(v.Float, 0)):
+		return json.RawMessage(`"NaN"`)
+	case v.Kind == merge.Text:
+		text, _ := json.Marshal(v.Text)
+		return text
+	}
+	return json.RawMessage(v.String())
+}
+
+func number(x float64) *float64 {
+	if math.IsNaN(x) {
+		return nil
+	}
+	return &x
+}
+
+// JSON is an answer as ParseJSON reads it.
+func (a *Answer) JSON() ([]byte, error) {
+	h := head{Version: a.Batch.Version, More: a.Batch.More, Schema: []column{}}
+	for _, c := range a.Batch.Schema {
+		h.Schema = append(h.Schema, column{c.Name, c.Kind.String(), c.Currency})
+	}
+	if s := a.Summary; s != nil {
+		h.Summary = &note{Count: s.Count, Min: number(s.Min), Max: number(s.Max), Sum: number(s.Sum)}
+		for _, v := range s.Least {
+			h.Summary.Least = append(h.Summary.Least, raw(v))
+		}
+	}
+	list := make([][]json.RawMessage, 0, len(a.Batch.Rows))
+	for _, r := range a.Batch.Rows {
+		key, err := json.Marshal(r.Key)
+		if err != nil {
+			return nil, err
+		}
+		line := []json.RawMessage{json.RawMessage(fmt.Sprint(r.District)), key}
+		for _, v := range r.Values {
+			line = append(line, raw(v))
+		}
+		list = append(list, line)
+	}
+	return json.Marshal(struct {
+		head
+		Rows [][]json.RawMessage `json:"rows"`
+	}{h, list})
+}
--- /dev/null
+++ b/internal/rows/rows_test.go
@@ -0,0 +1,153 @@
+package rows
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"github.com/stretchr/testify/require"
+
+	"ternstage/internal/complete"
+	"ternstage/internal/merge"
+	"ternstage/internal/slicemap"
+)
+
+var (
+	districts = slicemap.Range{Lo: 10, Hi: 20}
+	rank      = []string{"premium", "risk"}
+)
+
+func sample() *Answer {
+	s := merge.Schema{{Name: "premium", Kind: merge.Int, Currency: "INR"}, {Name: "risk", Kind: merge.Float},
+		{Name: "insurer", Kind: merge.Text}}
+	return &Answer{Batch: merge.Batch{Districts: districts, Version: 7, Schema: s, More: true, Rows: []merge.Row{
+		{District: 12, Key: "k-1", Values: []merge.Value{merge.IntOf(math.MaxInt64), merge.FloatOf(0.1), merge.TextOf("ä\"\n")}},
+		{District: 19, Key: "k 2", Values: []merge.Value{{}, {}, {}}}}},
+		Summary: &complete.Summary{Districts: districts, Version: 7, Since: 3, Count: 99,
+			Least: []merge.Value{merge.IntOf(5), merge.FloatOf(0.25)}, Min: 5, Max: 900, Sum: 12_000}}
+}
+
+func TestThereAndBack(t *testing.T) {
+	a := sample()
+	text, err := a.JSON()
+	require.NoError(t, err)
+	got, err := ParseJSON(text, districts, 3, 2, rank)
+	require.NoError(t, err)
+	require.Equal(t, a, got)
+	rec, err := a.Arrow()
+	require.NoError(t, err)
+	defer rec.Release()
+	got, err = FromArrow(rec, districts, 3, 2, rank)
+	require.NoError(t, err)
+	require.Equal(t, a, got)
+	a.Batch.Rows, a.Summary, a.Batch.More = []merge.Row{}, nil, false
+	text, err = a.JSON()
+	require.NoError(t, err)
+	got, err = ParseJSON(text, districts, 3, 0, rank)
+	require.NoError(t, err)
+	require.Equal(t, a, got)
+	a = sample()
+	a.Batch.Rows[0].Values[1] = merge.FloatOf(math.NaN())
+	text, err = a.JSON()
+	require.NoError(t, err)
+	got, err = ParseJSON(text, districts, 3, 2, rank)
+	require.NoError(t, err, "NaN is for the merge to turn away")
+	require.True(t, math.IsNaN(got.Batch.Rows[0].Values[1].Float))
+}
+
+func TestWhatHasNotTheForm(t *testing.T) {
+	const schema = `"version":7,"schema":[{"name":"premium","kind":"int"}]`
+	for text, what := range map[string]string{
+		``:                                          "no object",
+		`[]`:                                        "no object",
+		"{\"version\":7,\"a\xff\":1}":               "not UTF-8",
+		`{` + schema + `}`:                          "rows missing",
+		`{"rows":[]}`:                               "rows before their schema",
+		`{` + schema + `,"rows":7}`:                 "no list",
+		`{` + schema + `,"version":8}`:              `"version" stands twice`,
+		`{` + schema + `,"rows":[],"x":1}`:          `name "x"`,
+		`{` + schema + `,"rows":[]} {}`:             "something behind",
+		`{` + schema + `,"rows":[[10,"a"]]}`:        "rows[0]: 2 values",
+		`{` + schema + `,"rows":[["x","a",1]]}`:     "rows[0]: district",
+		`{` + schema + `,"rows":[[10,"a","dear"]]}`: "rows[0]: premium: no integer",
+		`{` + schema + `,"rows":[[10,"a",1e30]]}`:   "rows[0]: premium: no integer",
+		`{` + schema + `,"rows":[[10,"a",1.5]]}`:    "rows[0]: premium: no integer",
+		`{` + schema + `,"rows":[[10,"a",1],[10,"b",1],[10,"c",1]]}`:                             "more than the 2 rows",
+		`{` + schema + `,"rows":[[10,"a",1]`:                                                     "EOF",
+		`{"version":7,"schema":[{"name":"a","kind":"date"}],"rows":[]}`:                          "schema[0]",
+		`{"version":7,"schema":[{"name":"a","kind":"int"},{"name":"a","kind":"int"}],"rows":[]}`: "schema[1]",
+		`{` + schema + `,"rows":[],"summary":{"count":3}}`:                                       "summary: 0 least values",
+		`{` + schema + `,"rows":[],"summary":{"count":3,"least":[null]}}`:                        "summary: least[0]",
+		`{` + schema + `,"rows":[],"summary":{"count":0,"least":[1]}}`:                           "summary: 1 least",
+		`{` + schema + `,"rows":[],"summary":{"count":3,"least":[1],"min":2,"max":1}}`:           "summary",
+	} {
+		_, err := ParseJSON([]byte(text), districts, 3, 2, rank[:1])
+		require.ErrorIs(t, err, ErrForm, text)
+		require.Contains(t, err.Error(), what, text)
+	}
+	// Rows without end are given up at the first that was not asked for, not after they were all held.
+	endless := `{` + schema + `,"rows":[` + strings.Repeat(`[10,"a",1],`, 1_000_000)
+	n := testing.AllocsPerRun(1, func() { _, _ = ParseJSON([]byte(endless), districts, 3, 2, rank[:1]) })
+	require.Less(t, n, 300.0)
+}
+
+func TestArrowOfAnotherForm(t *testing.T) {
+	build := func(f func(b *array.RecordBuilder), meta arrow.Metadata, fields ...arrow.Field) arrow.RecordBatch {
+		b := array.NewRecordBuilder(memory.DefaultAllocator, arrow.NewSchema(fields, &meta))
+		defer b.Release()
+		f(b)
+		return b.NewRecordBatch()
+	}
+	meta := arrow.NewMetadata([]string{"version", "more"}, []string{"7", "false"})
+	district, key := arrow.Field{Name: "district", Type: arrow.PrimitiveTypes.Int32}, arrow.Field{Name: "key",
+		Type: arrow.BinaryTypes.String}
+	one := func(b *array.RecordBuilder) {
+		for _, f := range b.Fields() {
+			f.AppendEmptyValue()
+		}
+	}
+	for name, c := range map[string]struct {
+		rec  arrow.RecordBatch
+		what string
+	}{
+		"no key":       {build(one, meta, district), "the first columns"},
+		"other order":  {build(one, meta, key, district), "the first columns"},
+		"wide":         {build(one, meta, arrow.Field{Name: "district", Type: arrow.PrimitiveTypes.Int64}, key), "district: int64"},
+		"no version":   {build(one, arrow.Metadata{}, district, key), "version"},
+		"dates":        {build(one, meta, district, key, arrow.Field{Name: "d", Type: arrow.FixedWidthTypes.Date32}), "date32"},
+		"column twice": {build(one, meta, district, key, arrow.Field{Name: "x", Type: arrow.BinaryTypes.String}, arrow.Field{Name: "x", Type: arrow.BinaryTypes.String}), "stands twice"},
+		"too many":     {build(func(b *array.RecordBuilder) { one(b); one(b); one(b) }, meta, district, key), "3 rows, 2 were asked for"},
+		"null key":     {build(func(b *array.RecordBuilder) { b.Field(0).AppendEmptyValue(); b.Field(1).AppendNull() }, meta, district, key), "key"},
+	} {
+		_, err := FromArrow(c.rec, districts, 3, 2, nil)
+		require.ErrorIs(t, err, ErrForm, name)
+		require.Contains(t, err.Error(), c.what, name)
+	}
+}
+
+// FuzzParseJSON: whatever a node sends is an error, or can be written and read again.
+func FuzzParseJSON(f *testing.F) {
+	text, _ := sample().JSON()
+	f.Add(text)
+	f.Add([]byte(`{"version":7,"schema":[{"name":"premium","kind":"float"}],"rows":[[1,"a","NaN"]]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		a, err := ParseJSON(text, districts, 3, 10, rank)
+		if err != nil {
+			return
+		}
+		once, err := a.JSON()
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := ParseJSON(once, districts, 3, 10, rank)
+		if err != nil {
+			t.Fatalf("%s: %v", once, err)
+		}
+		if again, _ := b.JSON(); string(again) != string(once) {
+			t.Fatalf("%s\n%s", once, again)
+		}
+	})
+}
