Reading: a page from its first asks to its answer, which agrees with the pages before it

Need: plan, merge, completeness and cursor decide together what a page may claim. Change: internal/reading takes what nodes give, asks for more, drops who is late, follows splits, turns older data versions away, and says what has changed since the page before. It has no I/O; core is to carry it.

--- a/internal/cursor/cursor.go
+++ b/internal/cursor/cursor.go
@@ -47,6 +47,7 @@
 	After   *merge.Place // the last row; nil where there was none
 	Spans   []Span       // in order of districts: those that were in, and those that were missing
 	Query   [32]byte     // Digest of the query
+	Certain bool         // every rank so far was certain
 	Tenant  string
 	Expires int64
 }
@@ -70,6 +71,7 @@
 	Query    []byte  `cbor:"8,keyasint"`
 	Tenant   []byte  `cbor:"9,keyasint"`
 	Expires  int64   `cbor:"10,keyasint"`
+	Certain  bool    `cbor:"11,keyasint,omitempty"`
 }
 
 var (
@@ -143,7 +145,7 @@
 // then.
 func (r *Ring) Seal(c *Cursor) (string, error) {
 	b := body{Epoch: c.Epoch, Next: c.Next, Spans: join(c.Spans), Query: c.Query[:], Tenant: []byte(c.Tenant),
-		Expires: c.Expires}
+		Expires: c.Expires, Certain: c.Certain}
 	if c.After != nil {
 		b.Placed, b.District, b.Key = true, c.After.District, c.After.Key
 		for _, v := range c.After.Rank {
@@ -216,7 +218,8 @@
 	case now >= b.Expires:
 		return nil, ErrExpired
 	}
-	c := &Cursor{Epoch: b.Epoch, Next: b.Next, Spans: b.Spans, Query: query, Tenant: tenant, Expires: b.Expires}
+	c := &Cursor{Epoch: b.Epoch, Next: b.Next, Spans: b.Spans, Query: query, Tenant: tenant, Expires: b.Expires,
+		Certain: b.Certain}
 	if b.Placed {
 		c.After = &merge.Place{District: b.District, Key: b.Key}
 		for _, v := range b.Rank {
--- /dev/null
+++ b/internal/reading/reading.go
@@ -0,0 +1,329 @@
+// Package reading carries one page of one query from its first asks to its answer: it puts the plan, the
+// merge and the statement of completeness together. It has no I/O and no clock. Core asks nodes for what it
+// wants and tells it what came; which replica, whether to try again and whether the query is refused stay
+// with the decision module.
+package reading
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+
+	"ternstage/internal/complete"
+	"ternstage/internal/cursor"
+	"ternstage/internal/fetch"
+	"ternstage/internal/merge"
+	"ternstage/internal/rows"
+	"ternstage/internal/slicemap"
+)
+
+// Part is districts that one slice holds.
+type Part struct {
+	Districts slicemap.Range
+	Weight    float64
+	Since     uint64 // epoch of the slice's last change
+	Version   uint64 // the newest data version that anybody has told of; 0 if nobody has
+}
+
+// Query is what is read.
+type Query struct {
+	Clause    *merge.Clause
+	Epoch     uint64 // of the map by which this page begins
+	Need      float64
+	Fetch     fetch.Options // its limit is the clause's
+	Summaries []*complete.Summary
+}
+
+// Ask is what a node is to be asked for: so many rows after a place, all that were asked for before included,
+// so that one answer stands for itself, whatever data version it is of.
+type Ask struct {
+	Districts slicemap.Range
+	Rows      int
+	After     *merge.Place
+}
+
+// ErrOlder tells that a node answered from an older data version than the page before read: another replica
+// may have the newer one.
+var ErrOlder = errors.New("an older data version than the page before")
+
+// Result is a page.
+type Result struct {
+	Rows      []merge.Row
+	From      []slicemap.Range
+	First     int    // rank of the first row, from 1
+	Certain   []bool // of each rank
+	Statement *complete.Statement
+	Whole     bool
+	Next      *cursor.Cursor // nil where there is no next page
+	// What has changed since the page before, by districts; page one would differ where one is not empty.
+	Back, Gone, Other []cursor.Span
+}
+
+type slice struct {
+	Part
+	batch *merge.Batch
+	why   complete.Why
+	fault string
+}
+
+// Reading is one page that is being read.
+type Reading struct {
+	q      Query
+	before *cursor.Cursor // of the page before; nil for the first
+	plan   *fetch.Plan
+	slices []*slice
+	notes  []*complete.Summary
+}
+
+// New begins a page: the first, or what comes after a cursor.
+func New(now float64, q Query, parts []Part, before *cursor.Cursor) (*Reading, []Ask) {
+	r := &Reading{q: q, before: before, notes: slices.Clone(q.Summaries)}
+	r.q.Fetch.Limit = 0
+	if p := q.Clause.Page; p != nil {
+		r.q.Fetch.Limit = p.Size
+	}
+	var districts []slicemap.Range
+	var weights []float64
+	for _, p := range parts {
+		districts, weights = append(districts, p.Districts), append(weights, p.Weight)
+		r.slices = append(r.slices, &slice{Part: p, why: complete.Refused})
+	}
+	plan, asks := fetch.New(now, r.q.Fetch, districts, weights)
+	r.plan = plan
+	return r, r.asks(asks)
+}
+
+func (r *Reading) asks(list []fetch.Ask) []Ask {
+	out := make([]Ask, 0, len(list))
+	for _, a := range list {
+		out = append(out, Ask{a.Districts, a.Rows, r.after()})
+	}
+	return out
+}
+
+func (r *Reading) after() *merge.Place {
+	if r.before == nil {
+		return nil
+	}
+	return r.before.After
+}
+
+func (r *Reading) find(d slicemap.Range) *slice {
+	if i := slices.IndexFunc(r.slices, func(s *slice) bool { return s.Districts == d }); i >= 0 {
+		return r.slices[i]
+	}
+	return nil
+}
+
+// least is the newest data version of any of these districts that the page before read.
+func (r *Reading) least(d slicemap.Range) (v uint64) {
+	if r.before == nil {
+		return 0
+	}
+	for _, s := range r.before.Spans {
+		if (slicemap.Range{Lo: s.Lo, Hi: s.Hi}).Meets(d) {
+			v = max(v, s.Version)
+		}
+	}
+	return v
+}
+
+// Take takes a node's answer to an ask of so many rows. ErrOlder tells that another replica may do better,
+// and that the slice is still out; a *merge.Fault that the slice's part has failed and its rows are nowhere.
+func (r *Reading) Take(now float64, a *rows.Answer, asked int) error {
+	s := r.find(a.Batch.Districts)
+	if s == nil {
+		return nil // its slice was split or merged meanwhile
+	}
+	if v := r.least(s.Districts); a.Batch.Version < v {
+		s.why = complete.Older
+		return fmt.Errorf("%w: %d, not %d", ErrOlder, a.Batch.Version, v)
+	}
+	order, err := merge.NewOrder(a.Batch.Schema, r.q.Clause.By())
+	if err == nil {
+		err = order.Check(&a.Batch, r.after(), asked)
+	}
+	if err != nil {
+		r.spoil(s, err)
+		return err
+	}
+	if !r.plan.Got(now, s.Districts, len(a.Batch.Rows), a.Batch.More) {
+		return nil // it was dropped, or this is an answer twice
+	}
+	b := a.Batch
+	s.batch, s.Version = &b, max(s.Version, b.Version)
+	if a.Summary != nil {
+		r.notes = append(r.notes, a.Summary)
+	}
+	return nil
+}
+
+func (r *Reading) spoil(s *slice, err error) {
+	s.batch, s.why, s.fault = nil, complete.Spoilt, err.Error()
+	r.plan.Lost(s.Districts)
+}
+
+// Lost tells that a slice cannot be had, and why. A slice of which only an older version came stays missing
+// for that.
+func (r *Reading) Lost(d slicemap.Range, why complete.Why) {
+	if s := r.find(d); s != nil {
+		if s.batch = nil; s.why != complete.Older {
+			s.why = why
+		}
+		r.plan.Lost(d)
+	}
+}
+
+// Replace follows a split, a merge or a move: what a slice gave does not stand, and its districts are asked
+// for anew.
+func (r *Reading) Replace(now float64, d slicemap.Range, by []Part) []Ask {
+	s := r.find(d)
+	if s == nil {
+		return nil
+	}
+	ranges := make([]slicemap.Range, 0, len(by))
+	for _, p := range by {
+		ranges = append(ranges, p.Districts)
+	}
+	asks := r.plan.Replace(now, d, ranges)
+	if asks == nil {
+		return nil
+	}
+	r.slices = slices.DeleteFunc(r.slices, func(x *slice) bool { return x == s })
+	for _, p := range by {
+		p.Weight = s.Weight * float64(p.Districts.Size()) / float64(d.Size())
+		r.slices = append(r.slices, &slice{Part: p, why: complete.Refused})
+	}
+	return r.asks(asks)
+}
+
+// Step is what to do now.
+type Step struct {
+	Asks     []Ask
+	Drop     []slicemap.Range // waited for no longer
+	Result   *Result          // the page, once it is there
+	Hopeless bool             // there can be no answer
+	At       float64          // else step again at this time at the latest
+}
+
+// Step decides what follows on what has come.
+func (r *Reading) Step(now float64) Step {
+	v := r.plan.Decide(now)
+	for _, d := range v.Drop {
+		if s := r.find(d); s != nil {
+			s.batch, s.why = nil, complete.TimedOut
+		}
+	}
+	if v.Hopeless {
+		return Step{Hopeless: true, Drop: v.Drop}
+	}
+	if !v.Done {
+		return Step{At: v.At}
+	}
+	order, batches := r.reconcile()
+	if in := r.share(); in < r.q.Fetch.Floor-1e-4 || order == nil {
+		return Step{Hopeless: true, Drop: v.Drop}
+	}
+	page := order.Merge(batches, r.q.Fetch.Limit)
+	if asks := r.plan.More(now, page.Need); len(asks) > 0 {
+		return Step{Asks: r.asks(asks), Drop: v.Drop}
+	}
+	return Step{Result: r.result(order, page), Drop: v.Drop}
+}
+
+// reconcile finds the columns that most of the weight has, and spoils the slices that have others: of two
+// schemas neither is the right one by coming first.
+func (r *Reading) reconcile() (*merge.Order, []*merge.Batch) {
+	type vote struct {
+		schema merge.Schema
+		weight float64
+	}
+	var votes []*vote
+	in := slices.Clone(r.slices)
+	slices.SortFunc(in, func(a, b *slice) int { return cmp.Compare(a.Districts.Lo, b.Districts.Lo) })
+	in = slices.DeleteFunc(in, func(s *slice) bool { return s.batch == nil || !r.plan.Stands(s.Districts) })
+	for _, s := range in {
+		i := slices.IndexFunc(votes, func(v *vote) bool { return v.schema.Same(s.batch.Schema) == nil })
+		if i < 0 {
+			i = len(votes)
+			votes = append(votes, &vote{schema: s.batch.Schema})
+		}
+		votes[i].weight += s.Weight
+	}
+	if len(votes) == 0 {
+		return nil, nil
+	}
+	best := votes[0]
+	for _, v := range votes[1:] {
+		if v.weight > best.weight {
+			best = v
+		}
+	}
+	var out []*merge.Batch
+	for _, s := range in {
+		if err := best.schema.Same(s.batch.Schema); err != nil {
+			r.spoil(s, err)
+			continue
+		}
+		out = append(out, s.batch)
+	}
+	order, err := merge.NewOrder(best.schema, r.q.Clause.By())
+	if err != nil {
+		return nil, nil
+	}
+	return order, out
+}
+
+func (r *Reading) share() (in float64) {
+	for _, s := range r.slices {
+		if s.batch != nil {
+			in += s.Weight
+		}
+	}
+	return in
+}
+
+// result makes the page and what the next one needs to agree with it.
+func (r *Reading) result(order *merge.Order, page merge.Page) *Result {
+	var parts []complete.Part
+	var spans []cursor.Span
+	slices.SortFunc(r.slices, func(a, b *slice) int { return cmp.Compare(a.Districts.Lo, b.Districts.Lo) })
+	for _, s := range r.slices {
+		p := complete.Part{Districts: s.Districts, Weight: s.Weight, In: s.batch != nil, Version: s.Version,
+			Since: s.Since, Why: s.why, Fault: s.fault}
+		span := cursor.Span{Lo: s.Districts.Lo, Hi: s.Districts.Hi, Since: s.Since}
+		if p.In {
+			p.Version, span.Version = s.batch.Version, s.batch.Version
+		}
+		parts, spans = append(parts, p), append(spans, span)
+	}
+	out := &Result{Rows: page.Rows, From: page.From, First: 1,
+		Statement: complete.State(parts, r.notes, r.q.Need)}
+	places := make([]merge.Place, len(page.Rows))
+	for i, x := range page.Rows {
+		places[i] = order.PlaceOf(x)
+	}
+	out.Certain, out.Whole = out.Statement.Certain(order, places), out.Statement.Whole
+	sure := true
+	if r.before != nil {
+		out.First = r.before.Next
+		out.Back, out.Gone, out.Other = r.before.Changed(spans)
+		changed := len(out.Back)+len(out.Gone)+len(out.Other) > 0
+		out.Whole = out.Whole && !changed
+		// The ranks of this page count on from the ones before: they are no surer than those, and not at all once
+		// the pages before would differ.
+		if sure = r.before.Certain && !changed; !sure {
+			clear(out.Certain)
+		}
+	}
+	if page.More && len(places) > 0 {
+		last := places[len(places)-1]
+		out.Next = &cursor.Cursor{Epoch: r.q.Epoch, Next: out.First + len(places), After: &last, Spans: spans,
+			Certain: sure && !slices.Contains(out.Certain, false)}
+		if r.before != nil {
+			out.Next.Epoch = r.before.Epoch
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/reading/reading_test.go
@@ -0,0 +1,294 @@
+package reading
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ternstage/internal/complete"
+	"ternstage/internal/cursor"
+	"ternstage/internal/fetch"
+	"ternstage/internal/merge"
+	"ternstage/internal/rows"
+	"ternstage/internal/slicemap"
+)
+
+func init() { _ = flag.Set("rapid.seed", "20261201") }
+
+var table = merge.Schema{{Name: "premium", Kind: merge.Int}}
+
+// site is a table over districts, cut into slices of which some are silent.
+type site struct {
+	t       require.TestingT
+	o       *merge.Order
+	all     []merge.Row // in order
+	cut     []slicemap.Range
+	since   map[slicemap.Range]uint64
+	version map[slicemap.Range]uint64
+	silent  map[slicemap.Range]bool
+	spoil   func(a *rows.Answer)
+	taken   []error
+	notes   []*complete.Summary
+}
+
+func newSite(t require.TestingT, premiums ...int64) *site {
+	o, err := merge.NewOrder(table, []merge.By{{Column: "premium"}})
+	require.NoError(t, err)
+	s := &site{t: t, o: o, since: map[slicemap.Range]uint64{}, version: map[slicemap.Range]uint64{},
+		silent: map[slicemap.Range]bool{}}
+	for i, p := range premiums { // district i%10
+		s.all = append(s.all, merge.Row{District: i % 10, Key: fmt.Sprintf("%03d", i), Values: []merge.Value{merge.IntOf(p)}})
+	}
+	slices.SortFunc(s.all, func(a, b merge.Row) int { return o.Compare(o.PlaceOf(a), o.PlaceOf(b)) })
+	for i := range 5 {
+		s.cut = append(s.cut, slicemap.Range{Lo: 2 * i, Hi: 2*i + 2})
+	}
+	return s
+}
+
+func (s *site) of(d slicemap.Range, after *merge.Place) (out []merge.Row) {
+	for _, r := range s.all {
+		if d.Lo <= r.District && r.District < d.Hi && (after == nil || s.o.Compare(s.o.PlaceOf(r), *after) > 0) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (s *site) query(size int) Query {
+	return Query{Clause: &merge.Clause{Rank: []merge.RankBy{{Column: "premium"}}, Page: &merge.PageClause{Size: size}},
+		Epoch: 41, Need: 1, Summaries: s.notes,
+		Fetch: fetch.Options{Floor: 0.1, Aim: 1000, Deadline: 2000, Partial: 0.9, Late: 0.3, Spare: 20}}
+}
+
+// page reads a page to its end.
+func (s *site) page(size int, before *cursor.Cursor) *Result {
+	var parts []Part
+	for _, d := range s.cut {
+		parts = append(parts, Part{Districts: d, Weight: float64(d.Size()) / 10, Since: s.since[d], Version: s.version[d]})
+	}
+	now := 0.0
+	r, asks := New(now, s.query(size), parts, before)
+	for range 300 {
+		for _, a := range asks {
+			now++
+			if s.silent[a.Districts] {
+				continue
+			}
+			list := s.of(a.Districts, a.After)
+			n := min(a.Rows, len(list))
+			x := &rows.Answer{Batch: merge.Batch{Districts: a.Districts, Version: max(s.version[a.Districts], 1), Schema: table,
+				Rows: slices.Clone(list[:n]), More: n < len(list)}}
+			if s.spoil != nil {
+				s.spoil(x)
+			}
+			if err := r.Take(now, x, a.Rows); err != nil {
+				if s.taken = append(s.taken, err); x.Batch.Version < s.version[a.Districts] {
+					r.Lost(a.Districts, complete.Failed) // no replica has a newer one
+				}
+			}
+		}
+		st := r.Step(now)
+		require.False(s.t, st.Hopeless)
+		if st.Result != nil {
+			return st.Result
+		}
+		if asks = st.Asks; len(asks) == 0 {
+			require.Greater(s.t, st.At, now)
+			now = st.At
+		}
+	}
+	require.Fail(s.t, "the page does not end")
+	return nil
+}
+
+func keys(list []merge.Row) (out []string) {
+	for _, r := range list {
+		out = append(out, r.Key)
+	}
+	return out
+}
+
+var cheap = slicemap.Range{Lo: 4, Hi: 6} // districts 4 and 5
+
+// premiums has the cheapest policy in district 4.
+func premiums() (out []int64) {
+	for i := range 30 {
+		out = append(out, int64(100+i*7%30))
+	}
+	out[4] = 1
+	return out
+}
+
+// The missing slice holds the cheapest policy: no first place is claimed. It comes back before page two: page two agrees
+// with page one, shows no row twice, and says that page one would now differ.
+func TestSliceThatComesBackBetweenPages(t *testing.T) {
+	s := newSite(t, premiums()...)
+	s.silent[cheap] = true
+	one := s.page(6, nil)
+	require.False(t, one.Whole)
+	require.Equal(t, []bool{false, false, false, false, false, false}, one.Certain, "it might hold the cheapest")
+	require.InDelta(t, 0.8, one.Statement.Share, 1e-9)
+	require.Equal(t, complete.TimedOut, one.Statement.Missing[0].Why)
+
+	s.silent[cheap] = false
+	two := s.page(6, one.Next)
+	require.Equal(t, 7, two.First)
+	require.Equal(t, []cursor.Span{{Lo: 4, Hi: 6, Version: 1}}, two.Back)
+	require.False(t, two.Whole)
+	require.NotContains(t, two.Certain, true)
+	seen := append(keys(one.Rows), keys(two.Rows)...)
+	require.Len(t, slices.Compact(slices.Sorted(slices.Values(seen))), 12, "no row twice")
+	require.NotContains(t, seen, "004", "what would have come before page two is on no page, and that is said")
+	last := s.o.PlaceOf(one.Rows[5])
+	var rest []merge.Row
+	for _, r := range s.all {
+		if s.o.Compare(s.o.PlaceOf(r), last) > 0 {
+			rest = append(rest, r)
+		}
+	}
+	require.Equal(t, keys(rest[:6]), keys(two.Rows), "none is skipped by rank")
+
+	// A summary of its least rules the cheapest out, or does not.
+	s = newSite(t, premiums()...)
+	s.silent[cheap], s.version[cheap], s.since[cheap] = true, 3, 2
+	note := &complete.Summary{Districts: cheap, Version: 3, Since: 2, Count: 6, Least: []merge.Value{merge.IntOf(104)}}
+	s.notes = []*complete.Summary{note}
+	one = s.page(6, nil)
+	require.Equal(t, []bool{true, true, true}, one.Certain[:3], "dearer than the first three")
+	require.False(t, one.Certain[5])
+	note.Version = 2
+	require.False(t, s.page(6, nil).Certain[0], "an older summary is worth nothing")
+}
+
+// A slice that was read for page one is gone at page two.
+func TestSliceThatIsGoneAtPageTwo(t *testing.T) {
+	s := newSite(t, premiums()...)
+	one := s.page(6, nil)
+	require.True(t, one.Whole)
+	require.NotContains(t, one.Certain, false)
+	s.silent[cheap] = true
+	two := s.page(6, one.Next)
+	require.Equal(t, []cursor.Span{{Lo: 4, Hi: 6}}, two.Gone)
+	require.False(t, two.Whole)
+	require.NotContains(t, two.Certain, true)
+	require.True(t, s.o.Compare(s.o.PlaceOf(one.Rows[5]), s.o.PlaceOf(two.Rows[0])) < 0, "it stays in order")
+}
+
+// A replica answers from an older data version than page one's.
+func TestOlderVersionAtPageTwo(t *testing.T) {
+	s := newSite(t, premiums()...)
+	s.version[cheap] = 5
+	one := s.page(6, nil)
+	s.spoil = func(a *rows.Answer) {
+		if a.Batch.Districts == cheap {
+			a.Batch.Version = 4
+		}
+	}
+	two := s.page(6, one.Next)
+	require.ErrorIs(t, s.taken[0], ErrOlder)
+	require.Equal(t, complete.Older, two.Statement.Missing[0].Why, "no replica was better: the slice is missing")
+	s.spoil, s.version[cheap] = nil, 6
+	two = s.page(6, one.Next)
+	require.Equal(t, []cursor.Span{{Lo: 4, Hi: 6, Version: 6}}, two.Other, "a newer one is read, and said")
+}
+
+// What one slice brings cannot be combined: it is missing by name, and the others are answered.
+func TestSpoiltSliceIsMissingByName(t *testing.T) {
+	for name, f := range map[string]func(b *merge.Batch){
+		"out of order":  func(b *merge.Batch) { slices.Reverse(b.Rows) },
+		"other columns": func(b *merge.Batch) { b.Schema = merge.Schema{{Name: "premium", Kind: merge.Int, Currency: "USD"}} },
+		"null":          func(b *merge.Batch) { b.Rows[0].Values = []merge.Value{{}} },
+		"too many":      func(b *merge.Batch) { b.Rows = append(b.Rows, slices.Repeat(b.Rows, 40)...) },
+	} {
+		s := newSite(t, premiums()...)
+		s.spoil = func(a *rows.Answer) {
+			if a.Batch.Districts == cheap {
+				f(&a.Batch)
+			}
+		}
+		one := s.page(6, nil)
+		require.Len(t, one.Statement.Missing, 1, name)
+		require.Equal(t, complete.Spoilt, one.Statement.Missing[0].Why, name)
+		require.NotEmpty(t, one.Statement.Missing[0].Fault, name)
+		for _, r := range one.Rows {
+			require.False(t, r.District == 4 || r.District == 5, "%s: none of its rows", name)
+		}
+	}
+}
+
+// Over any table, with slices cut anew and silent at random between pages, no row is shown twice, order holds over all
+// pages, a rank that is called certain is the true one, and whole is said only of what is whole.
+func TestPagesAgree(t *testing.T) {
+	certain := 0
+	rapid.Check(t, func(t *rapid.T) {
+		var p []int64
+		for range rapid.IntRange(0, 40).Draw(t, "rows") {
+			p = append(p, int64(rapid.IntRange(0, 9).Draw(t, "premium")))
+		}
+		s := newSite(t, p...)
+		var before *cursor.Cursor
+		var got []merge.Row
+		for pages := 0; pages < 60; pages++ {
+			s.cut, s.silent = nil, map[slicemap.Range]bool{}
+			for at := 0; at < 10; {
+				d := slicemap.Range{Lo: at, Hi: at + rapid.IntRange(1, 10-at).Draw(t, "cut")}
+				s.cut, at = append(s.cut, d), d.Hi
+				s.silent[d] = d.Lo > 0 && rapid.IntRange(0, 9).Draw(t, "silent") == 0
+			}
+			r := s.page(rapid.IntRange(1, 9).Draw(t, "size"), before)
+			require.Equal(t, len(got)+1, r.First)
+			missing := 0
+			for _, d := range s.cut {
+				if s.silent[d] {
+					missing++
+				}
+			}
+			require.Equal(t, missing > 0, len(r.Statement.Missing) > 0)
+			require.False(t, r.Whole && missing > 0)
+			for i, x := range r.Rows {
+				if len(got) > 0 {
+					require.Negative(t, s.o.Compare(s.o.PlaceOf(got[len(got)-1]), s.o.PlaceOf(x)))
+				}
+				if got = append(got, x); r.Certain[i] {
+					certain++
+					require.Equal(t, s.all[r.First+i-1].Key, x.Key)
+				}
+			}
+			if before = r.Next; before == nil {
+				return
+			}
+		}
+	})
+	require.Positive(t, certain)
+}
+
+// Slices whose columns only the others show to be wrong count for nothing towards the floor either.
+func TestFloorCountsOnlyWhatCanBeMerged(t *testing.T) {
+	for floor, hopeless := range map[float64]bool{0.6: false, 0.7: true} {
+		q := newSite(t).query(3)
+		q.Fetch.Floor = floor
+		var parts []Part
+		for i := range 5 {
+			parts = append(parts, Part{Districts: slicemap.Range{Lo: i, Hi: i + 1}, Weight: 0.2})
+		}
+		r, asks := New(0, q, parts, nil)
+		for i, a := range asks {
+			schema := table
+			if i < 2 { // those that come first are not right for that
+				schema = merge.Schema{{Name: "premium", Kind: merge.Int, Currency: "USD"}}
+			}
+			require.NoError(t, r.Take(1, &rows.Answer{Batch: merge.Batch{Districts: a.Districts, Version: 1, Schema: schema}}, a.Rows))
+		}
+		st := r.Step(2)
+		require.Equal(t, hopeless, st.Hopeless)
+		if !hopeless {
+			require.Len(t, st.Result.Statement.Missing, 2)
+			require.ErrorContains(t, fmt.Errorf("%s", st.Result.Statement.Missing[0].Fault), "another currency")
+		}
+	}
+}
