Aggregates of a reading: figures with bounds, and partial aggregates of nodes over both wires

Need: counts, sums, means, quantiles and distinct counts by group, over what is in, with a bound or the word that there is none. Change: nodes send partial aggregates with their rows; a reading combines them, fails the slice with which a sum would overflow, and states between what a figure lies where summaries say so.

--- a/internal/merge/aggregate.go
+++ b/internal/merge/aggregate.go
@@ -298,6 +298,23 @@
 	return x, nil
 }
 
+// Put adds a group that is not there yet.
+func (g *Groups) Put(values []Value, partials []*Partial) error {
+	n := len(g.by)
+	x, err := g.Of(values)
+	if err != nil {
+		return err
+	}
+	if len(g.by) == n || len(partials) != len(g.columns) {
+		return fault(-1, ErrTwice, "group %v", values)
+	}
+	x.Partials = partials
+	return nil
+}
+
+// Columns are those that are aggregated.
+func (g *Groups) Columns() []Column { return g.columns }
+
 // Combine takes another slice's groups in, or none of them.
 func (g *Groups) Combine(o *Groups) error {
 	next := NewGroups(g.columns, g.most)
--- a/internal/reading/reading.go
+++ b/internal/reading/reading.go
@@ -56,15 +56,33 @@
 	Statement *complete.Statement
 	Whole     bool
 	Next      *cursor.Cursor // nil where there is no next page
+	Groups    []Group        // aggregates, in order of the groups' values
 	// What has changed since the page before, by districts; page one would differ where one is not empty.
 	Back, Gone, Other []cursor.Span
 }
 
+// Group is the figures of one group.
+type Group struct {
+	Values  []merge.Value
+	Figures []Figure
+}
+
+// Figure is one aggregate over what is in, and between what that over all rows lies, where that is known.
+type Figure struct {
+	Name  string
+	Value merge.Value
+	Bound complete.Bound
+}
+
+// MostGroups bounds the groups of an answer.
+const MostGroups = 1000
+
 type slice struct {
 	Part
-	batch *merge.Batch
-	why   complete.Why
-	fault string
+	batch  *merge.Batch
+	groups *merge.Groups
+	why    complete.Why
+	fault  string
 }
 
 // Reading is one page that is being read.
@@ -144,6 +162,9 @@
 	if err == nil {
 		err = order.Check(&a.Batch, r.after(), asked)
 	}
+	if err == nil && len(r.q.Clause.Aggregate) > 0 && a.Groups == nil {
+		err = &merge.Fault{Row: -1, What: "no aggregates", Err: merge.ErrSchema}
+	}
 	if err != nil {
 		r.spoil(s, err)
 		return err
@@ -152,7 +173,7 @@
 		return nil // it was dropped, or this is an answer twice
 	}
 	b := a.Batch
-	s.batch, s.Version = &b, max(s.Version, b.Version)
+	s.batch, s.groups, s.Version = &b, a.Groups, max(s.Version, b.Version)
 	if a.Summary != nil {
 		r.notes = append(r.notes, a.Summary)
 	}
@@ -221,7 +242,7 @@
 	if !v.Done {
 		return Step{At: v.At}
 	}
-	order, batches := r.reconcile()
+	order, batches, total := r.reconcile()
 	if in := r.share(); in < r.q.Fetch.Floor-1e-4 || order == nil {
 		return Step{Hopeless: true, Drop: v.Drop}
 	}
@@ -229,12 +250,19 @@
 	if asks := r.plan.More(now, page.Need); len(asks) > 0 {
 		return Step{Asks: r.asks(asks), Drop: v.Drop}
 	}
-	return Step{Result: r.result(order, page), Drop: v.Drop}
+	out := r.result(order, page)
+	if total != nil {
+		var err error
+		if out.Groups, err = r.figures(total, out.Statement); err != nil {
+			return Step{Hopeless: true, Drop: v.Drop} // no figure can be given: never a wrong one in silence
+		}
+	}
+	return Step{Result: out, Drop: v.Drop}
 }
 
 // reconcile finds the columns that most of the weight has, and spoils the slices that have others: of two
 // schemas neither is the right one by coming first.
-func (r *Reading) reconcile() (*merge.Order, []*merge.Batch) {
+func (r *Reading) reconcile() (*merge.Order, []*merge.Batch, *merge.Groups) {
 	type vote struct {
 		schema merge.Schema
 		weight float64
@@ -252,7 +280,7 @@
 		votes[i].weight += s.Weight
 	}
 	if len(votes) == 0 {
-		return nil, nil
+		return nil, nil, nil
 	}
 	best := votes[0]
 	for _, v := range votes[1:] {
@@ -261,18 +289,116 @@
 		}
 	}
 	var out []*merge.Batch
+	var total *merge.Groups
 	for _, s := range in {
 		if err := best.schema.Same(s.batch.Schema); err != nil {
 			r.spoil(s, err)
 			continue
 		}
+		if s.groups != nil {
+			if total == nil {
+				total = merge.NewGroups(s.groups.Columns(), MostGroups)
+			}
+			if err := total.Combine(s.groups); err != nil {
+				r.spoil(s, err) // a sum that overflows with it, more groups than the bound: without it there is a figure
+				continue
+			}
+		}
 		out = append(out, s.batch)
 	}
 	order, err := merge.NewOrder(best.schema, r.q.Clause.By())
 	if err != nil {
-		return nil, nil
+		return nil, nil, nil
+	}
+	return order, out, total
+}
+
+// Of are the aggregated columns of a clause, each once: what nodes are asked for and in which order. ""
+// counts rows.
+func Of(c *merge.Clause) (out []string) {
+	for _, f := range c.Aggregate {
+		if !slices.Contains(out, f.Of) {
+			out = append(out, f.Of)
+		}
+	}
+	return out
+}
+
+// figures are what the client asked for of the groups. Bounds are given where a summary's can be: of all
+// rows, with no filter and no group, and of one column.
+func (r *Reading) figures(total *merge.Groups, st *complete.Statement) ([]Group, error) {
+	c, of := r.q.Clause, Of(r.q.Clause)
+	columns := 0
+	for _, name := range of {
+		if name != "" {
+			columns++
+		}
 	}
-	return order, out
+	bounded := len(st.Missing) == 0 || len(c.Filter) == 0 && len(c.Group) == 0 && columns <= 1
+	list := total.All()
+	if len(list) == 0 && len(c.Group) == 0 { // of no rows at all there is one group of nothing
+		g, err := total.Of(nil)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, g)
+	}
+	out := make([]Group, 0, len(list))
+	for _, g := range list {
+		x := Group{Values: g.Values}
+		for _, f := range c.Aggregate {
+			p := g.Partials[slices.Index(of, f.Of)]
+			v, b, err := figure(f, p, st)
+			if err != nil {
+				return nil, err
+			}
+			if !bounded {
+				b = complete.Bound{}
+			}
+			x.Figures = append(x.Figures, Figure{f.Name, v, b})
+		}
+		out = append(out, x)
+	}
+	return out, nil
+}
+
+// figure is one aggregate and its bound. Quantiles and distinct counts have none while something is missing.
+func figure(f merge.Figure, p *merge.Partial, st *complete.Statement) (
+	v merge.Value, b complete.Bound, err error) {
+	sum := 0.0
+	if v, err = p.Sum(); err != nil {
+		return v, b, err
+	}
+	if sum = v.Float; v.Kind == merge.Int {
+		sum = float64(v.Int)
+	}
+	number := func(x merge.Value) float64 {
+		if x.Kind == merge.Int {
+			return float64(x.Int)
+		}
+		return x.Float
+	}
+	switch f.Do {
+	case "count":
+		return merge.IntOf(int64(p.Count)), st.Count(p.Count), nil
+	case "sum":
+		b = st.Sum(sum)
+	case "min":
+		v, b = p.Min, st.Min(number(p.Min), p.Count > 0)
+	case "max":
+		v, b = p.Max, st.Max(number(p.Max), p.Count > 0)
+	case "mean":
+		v, err = p.Mean()
+		b = st.Mean(sum, p.Count)
+	case "quantile":
+		v, err = p.Quantile(*f.Q)
+	case "distinct":
+		v = merge.IntOf(int64(p.Distinct()))
+	}
+	if v.Kind == merge.Text {
+		b = complete.Bound{}
+	}
+	return v, b, err
 }
 
 func (r *Reading) share() (in float64) {
--- a/internal/rows/arrow.go
+++ b/internal/rows/arrow.go
@@ -10,7 +10,6 @@
 	"github.com/apache/arrow-go/v18/arrow/memory"
 
 	"ternstage/internal/merge"
-	"ternstage/internal/slicemap"
 )
 
 // The names of what a record batch's schema carries beside its columns.
@@ -18,19 +17,19 @@
 	metaVersion  = "version"
 	metaMore     = "more"
 	metaSummary  = "summary"
+	metaGroups   = "groups"
 	metaCurrency = "currency"
 	colDistrict  = "district"
 	colKey       = "key"
 )
 
 // FromArrow reads a node's record batch: the columns district (int32) and key (utf8), then int64, float64 and
-// utf8 ones, with the schema metadata version, more and summary, and a money column's field metadata
+// utf8 ones, with the schema metadata version, more, summary and groups, and a money column's field metadata
 // currency.
-func FromArrow(rec arrow.RecordBatch, districts slicemap.Range, since uint64, most int,
-	rank []string) (*Answer, error) {
+func FromArrow(rec arrow.RecordBatch, w Want) (*Answer, error) {
 	s := rec.Schema()
-	if rec.NumRows() > int64(most) {
-		return nil, bad("%d rows, %d were asked for", rec.NumRows(), most)
+	if rec.NumRows() > int64(w.Most) {
+		return nil, bad("%d rows, %d were asked for", rec.NumRows(), w.Most)
 	}
 	if s.NumFields() < 2 || s.NumFields() > MostColumns+2 || s.Field(0).Name != colDistrict ||
 		s.Field(1).Name != colKey {
@@ -44,7 +43,7 @@
 	if !ok || key.NullN() > 0 {
 		return nil, bad("key: %v, not utf8 without nulls", rec.Column(1).DataType())
 	}
-	a := &Answer{Batch: merge.Batch{Districts: districts, Rows: make([]merge.Row, rec.NumRows())}}
+	a := &Answer{Batch: merge.Batch{Districts: w.Districts, Rows: make([]merge.Row, rec.NumRows())}}
 	var err error
 	meta := s.Metadata()
 	get := func(name string) string {
@@ -84,16 +83,19 @@
 			a.Batch.Rows[i].Values[j] = v
 		}
 	}
-	if text := get(metaSummary); text != "" {
-		var n note
-		if err := json.Unmarshal([]byte(text), &n); err != nil {
-			return nil, bad("summary: %v", err)
-		}
-		if a.Summary, err = n.read(a.Batch, since, rank); err != nil {
-			return nil, err
+	var n *note
+	var groups []group
+	for _, m := range []struct {
+		name string
+		to   any
+	}{{metaSummary, &n}, {metaGroups, &groups}} {
+		if text := get(m.name); text != "" {
+			if err := json.Unmarshal([]byte(text), m.to); err != nil {
+				return nil, bad("%s: %v", m.name, err)
+			}
 		}
 	}
-	return a, nil
+	return a, a.rest(n, groups, w)
 }
 
 // reader is the kind of a column and how to read it; nil where it is none that can be merged.
@@ -132,6 +134,17 @@
 		}
 		names, values = append(names, metaSummary), append(values, string(text))
 	}
+	if a.Groups != nil {
+		groups, err := formGroups(a.Groups)
+		if err != nil {
+			return nil, err
+		}
+		text, err := json.Marshal(groups)
+		if err != nil {
+			return nil, err
+		}
+		names, values = append(names, metaGroups), append(values, string(text))
+	}
 	fields := []arrow.Field{{Name: colDistrict, Type: arrow.PrimitiveTypes.Int32},
 		{Name: colKey, Type: arrow.BinaryTypes.String}}
 	types := map[merge.Kind]arrow.DataType{merge.Int: arrow.PrimitiveTypes.Int64,
--- a/internal/rows/rows.go
+++ b/internal/rows/rows.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"unicode/utf8"
 
 	"ternstage/internal/complete"
@@ -32,9 +33,21 @@
 // Answer is what a node gives for a part: a batch of rows, and what it states of all its rows.
 type Answer struct {
 	Batch   merge.Batch
+	Groups  *merge.Groups     // its aggregates; nil if none were asked for
 	Summary *complete.Summary // nil if it states none
 }
 
+// Want is what a node was asked for, by which its answer is read.
+type Want struct {
+	Districts slicemap.Range
+	Since     uint64   // epoch of the slice's last change
+	Most      int      // rows
+	Rank      []string // columns, by which a summary's least values are read
+	Of        []string // aggregated columns; "" counts rows
+	Group     []string // columns
+	Groups    int      // at most
+}
+
 // column is a column in the JSON form.
 type column struct {
 	Name     string `json:"name"`
@@ -56,6 +69,22 @@
 	Schema  []column `json:"schema"`
 	More    bool     `json:"more"`
 	Summary *note    `json:"summary,omitempty"`
+	Groups  []group  `json:"groups,omitempty"`
+}
+
+// group is the aggregates of a group in the JSON form, of each aggregated column in turn.
+type group struct {
+	By []json.RawMessage `json:"by,omitempty"`
+	Of []partial         `json:"of"`
+}
+
+type partial struct {
+	Count    uint64          `json:"count"`
+	Sum      json.RawMessage `json:"sum,omitempty"`
+	Min      json.RawMessage `json:"min,omitempty"`
+	Max      json.RawMessage `json:"max,omitempty"`
+	Quantile []byte          `json:"quantile,omitempty"` // sketches, in base64
+	Distinct []byte          `json:"distinct,omitempty"`
 }
 
 var kinds = map[string]merge.Kind{"int": merge.Int, "float": merge.Float, "text": merge.Text}
@@ -76,15 +105,16 @@
 }
 
 // ParseJSON reads a node's answer:
-// {"version":7,"schema":[...],"rows":[[district,"key",value,...],...],"more":true, "summary":{...}}, the
-// schema before the rows. most is how many rows were asked for; rank are the places of the rank columns, by
-// which a summary's least values are read.
-func ParseJSON(text []byte, districts slicemap.Range, since uint64, most int, rank []string) (*Answer,
-	error) {
+//
+//	{"version":7,"schema":[...],"rows":[[district,"key",value,...],...],"more":true,
+//	 "groups":[...],"summary":{...}}
+//
+// with the schema before the rows.
+func ParseJSON(text []byte, w Want) (*Answer, error) {
 	if !utf8.Valid(text) {
 		return nil, bad("not UTF-8")
 	}
-	a := &Answer{Batch: merge.Batch{Districts: districts}}
+	a := &Answer{Batch: merge.Batch{Districts: w.Districts}}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.UseNumber()
 	if t, err := d.Token(); err != nil || t != json.Delim('{') {
@@ -109,6 +139,8 @@
 			err = d.Decode(&h.More)
 		case "summary":
 			err = d.Decode(&h.Summary)
+		case "groups":
+			err = d.Decode(&h.Groups)
 		case "schema":
 			if err = d.Decode(&h.Schema); err == nil {
 				a.Batch.Schema, err = schemaOf(h.Schema)
@@ -117,7 +149,7 @@
 			if !seen["schema"] {
 				return nil, bad("rows before their schema")
 			}
-			a.Batch.Rows, err = rowsOf(d, a.Batch.Schema, most)
+			a.Batch.Rows, err = rowsOf(d, a.Batch.Schema, w.Most)
 		default:
 			return nil, bad("name %.40q", name)
 		}
@@ -138,9 +170,119 @@
 		return nil, bad("version, schema or rows missing")
 	}
 	a.Batch.Version, a.Batch.More = h.Version, h.More
-	var err error
-	a.Summary, err = h.Summary.read(a.Batch, since, rank)
-	return a, err
+	return a, a.rest(h.Summary, h.Groups, w)
+}
+
+// rest reads what comes beside the rows.
+func (a *Answer) rest(n *note, groups []group, w Want) (err error) {
+	if a.Summary, err = n.read(a.Batch, w.Since, w.Rank); err != nil {
+		return err
+	}
+	if len(w.Of) == 0 {
+		if len(groups) > 0 {
+			return bad("groups, and none were asked for")
+		}
+		return nil
+	}
+	columns, by := make([]merge.Column, len(w.Of)), make([]merge.Column, len(w.Group))
+	for i, name := range append(slices.Clone(w.Of), w.Group...) {
+		c := merge.Column{Kind: merge.Int}
+		if at := a.Batch.Schema.Index(name); at >= 0 {
+			c = a.Batch.Schema[at]
+		} else if name != "" || i >= len(w.Of) {
+			return bad("column %q is not there", name)
+		}
+		if i < len(w.Of) {
+			columns[i] = c
+		} else {
+			by[i-len(w.Of)] = c
+		}
+	}
+	a.Groups = merge.NewGroups(columns, w.Groups)
+	for i, g := range groups {
+		if len(g.By) != len(by) || len(g.Of) != len(columns) || i >= w.Groups {
+			return bad("groups[%d]: %d values and %d aggregates, of at most %d groups", i, len(g.By), len(g.Of),
+				w.Groups)
+		}
+		values := make([]merge.Value, len(by))
+		for j, raw := range g.By {
+			if values[j], err = valueOf(raw, by[j].Kind); err != nil {
+				return bad("groups[%d].by[%d]: %v", i, j, err)
+			}
+		}
+		partials := make([]*merge.Partial, len(columns))
+		for j, p := range g.Of {
+			if partials[j], err = p.read(columns[j]); err != nil {
+				return bad("groups[%d].of[%d]: %v", i, j, err)
+			}
+		}
+		if err := a.Groups.Put(values, partials); err != nil {
+			return bad("groups[%d]: %v", i, err)
+		}
+	}
+	return nil
+}
+
+// read makes aggregates of what a node sent.
+func (p *partial) read(c merge.Column) (*merge.Partial, error) {
+	var v [3]merge.Value
+	for i, raw := range []json.RawMessage{p.Sum, p.Min, p.Max} {
+		kind := c.Kind
+		if i == 0 && kind == merge.Text {
+			continue // a text has no sum
+		}
+		if p.Count == 0 || c.Name == "" {
+			if v[i] = (merge.Value{Kind: kind}); len(raw) > 0 {
+				return nil, fmt.Errorf("sum, min or max of nothing")
+			}
+			continue
+		}
+		var err error
+		if len(raw) == 0 {
+			return nil, fmt.Errorf("sum, min or max missing")
+		}
+		if v[i], err = valueOf(raw, kind); err != nil {
+			return nil, err
+		}
+	}
+	return merge.Restore(c, p.Count, v[0], v[1], v[2], p.Quantile, p.Distinct)
+}
+
+// formGroups is groups in the JSON form.
+func formGroups(g *merge.Groups) ([]group, error) {
+	if g == nil {
+		return nil, nil
+	}
+	out := []group{}
+	for _, x := range g.All() {
+		f := group{}
+		for _, v := range x.Values {
+			f.By = append(f.By, raw(v))
+		}
+		for _, p := range x.Partials {
+			q := partial{Count: p.Count}
+			if p.Count > 0 && p.Column.Name != "" {
+				if p.Column.Kind != merge.Text {
+					sum, err := p.Sum()
+					if err != nil {
+						return nil, err
+					}
+					q.Sum = raw(sum)
+				}
+				q.Min, q.Max = raw(p.Min), raw(p.Max)
+				var err error
+				if q.Quantile, q.Distinct, err = p.Sketches(); err != nil {
+					return nil, err
+				}
+				if p.Column.Kind == merge.Text {
+					q.Quantile = nil
+				}
+			}
+			f.Of = append(f.Of, q)
+		}
+		out = append(out, f)
+	}
+	return out, nil
 }
 
 // rowsOf reads rows one by one: a list without end is given up at the first row too many.
@@ -277,6 +419,10 @@
 			h.Summary.Least = append(h.Summary.Least, raw(v))
 		}
 	}
+	var err error
+	if h.Groups, err = formGroups(a.Groups); err != nil {
+		return nil, err
+	}
 	list := make([][]json.RawMessage, 0, len(a.Batch.Rows))
 	for _, r := range a.Batch.Rows {
 		key, err := json.Marshal(r.Key)
--- a/internal/rows/rows_test.go
+++ b/internal/rows/rows_test.go
@@ -20,6 +20,10 @@
 	rank      = []string{"premium", "risk"}
 )
 
+func want(most int, rank []string) Want {
+	return Want{Districts: districts, Since: 3, Most: most, Rank: rank, Groups: 3}
+}
+
 func sample() *Answer {
 	s := merge.Schema{{Name: "premium", Kind: merge.Int, Currency: "INR"}, {Name: "risk", Kind: merge.Float},
 		{Name: "insurer", Kind: merge.Text}}
@@ -34,30 +38,81 @@
 	a := sample()
 	text, err := a.JSON()
 	require.NoError(t, err)
-	got, err := ParseJSON(text, districts, 3, 2, rank)
+	got, err := ParseJSON(text, want(2, rank))
 	require.NoError(t, err)
 	require.Equal(t, a, got)
 	rec, err := a.Arrow()
 	require.NoError(t, err)
 	defer rec.Release()
-	got, err = FromArrow(rec, districts, 3, 2, rank)
+	got, err = FromArrow(rec, want(2, rank))
 	require.NoError(t, err)
 	require.Equal(t, a, got)
 	a.Batch.Rows, a.Summary, a.Batch.More = []merge.Row{}, nil, false
 	text, err = a.JSON()
 	require.NoError(t, err)
-	got, err = ParseJSON(text, districts, 3, 0, rank)
+	got, err = ParseJSON(text, want(0, rank))
 	require.NoError(t, err)
 	require.Equal(t, a, got)
 	a = sample()
 	a.Batch.Rows[0].Values[1] = merge.FloatOf(math.NaN())
 	text, err = a.JSON()
 	require.NoError(t, err)
-	got, err = ParseJSON(text, districts, 3, 2, rank)
+	got, err = ParseJSON(text, want(2, rank))
 	require.NoError(t, err, "NaN is for the merge to turn away")
 	require.True(t, math.IsNaN(got.Batch.Rows[0].Values[1].Float))
 }
 
+// Aggregates by group go over both wires and are then what they were.
+func TestGroupsThereAndBack(t *testing.T) {
+	a, w := sample(), want(2, rank)
+	w.Of, w.Group = []string{"", "risk", "insurer"}, []string{"insurer"}
+	s := a.Batch.Schema
+	a.Groups = merge.NewGroups([]merge.Column{{Kind: merge.Int}, s[1], s[2]}, 3)
+	for i, name := range []string{"x", "x", "y"} {
+		g, err := a.Groups.Of([]merge.Value{merge.TextOf(name)})
+		require.NoError(t, err)
+		for j, v := range []merge.Value{merge.IntOf(0), merge.FloatOf(float64(i) + 0.5), merge.TextOf(name)} {
+			require.NoError(t, g.Partials[j].Add(v))
+		}
+	}
+	check := func(got *Answer, err error) {
+		t.Helper()
+		require.NoError(t, err)
+		all := got.Groups.All()
+		require.Len(t, all, 2)
+		require.EqualValues(t, 2, all[0].Partials[0].Count)
+		sum, err := all[0].Partials[1].Sum()
+		require.NoError(t, err)
+		require.Equal(t, merge.FloatOf(2), sum)
+		require.Equal(t, merge.FloatOf(1.5), all[0].Partials[1].Max)
+		require.EqualValues(t, 1, all[1].Partials[2].Distinct())
+	}
+	text, err := a.JSON()
+	require.NoError(t, err)
+	check(ParseJSON(text, w))
+	rec, err := a.Arrow()
+	require.NoError(t, err)
+	defer rec.Release()
+	check(FromArrow(rec, w))
+	w.Groups = 1
+	_, err = ParseJSON(text, w)
+	require.ErrorIs(t, err, ErrForm, "more groups than the bound")
+	w.Groups, w.Of = 3, nil
+	_, err = ParseJSON(text, w)
+	require.ErrorIs(t, err, ErrForm, "groups that nobody asked for")
+	w.Of, w.Group = []string{"age"}, nil
+	_, err = ParseJSON(text, w)
+	require.ErrorContains(t, err, `column "age" is not there`)
+	for _, bad := range []string{`{"by":["x"],"of":[{"count":1,"sum":7}]}`, `{"by":["x"],"of":[{"count":0,"sum":7}]}`,
+		`{"by":["x"],"of":[{"count":1,"sum":1,"min":2,"max":1}]}`, `{"by":[],"of":[{"count":0}]}`, `{"by":["x"],"of":[]}`,
+		`{"by":["x"],"of":[{"count":0}]},{"by":["x"],"of":[{"count":0}]}`,
+		`{"by":["x"],"of":[{"count":1,"sum":1,"min":1,"max":1,"quantile":"AQID"}]}`} {
+		_, err := ParseJSON([]byte(`{"version":7,"schema":[{"name":"premium","kind":"int"},{"name":"insurer","kind":"text"}],
+			"rows":[],"groups":[`+bad+`]}`), Want{Districts: districts, Of: []string{"premium"}, Group: []string{"insurer"}, Groups: 3})
+		require.ErrorIs(t, err, ErrForm, bad)
+	}
+}
+
 func TestWhatHasNotTheForm(t *testing.T) {
 	const schema = `"version":7,"schema":[{"name":"premium","kind":"int"}]`
 	for text, what := range map[string]string{
@@ -84,13 +139,13 @@
 		`{` + schema + `,"rows":[],"summary":{"count":0,"least":[1]}}`:                           "summary: 1 least",
 		`{` + schema + `,"rows":[],"summary":{"count":3,"least":[1],"min":2,"max":1}}`:           "summary",
 	} {
-		_, err := ParseJSON([]byte(text), districts, 3, 2, rank[:1])
+		_, err := ParseJSON([]byte(text), want(2, rank[:1]))
 		require.ErrorIs(t, err, ErrForm, text)
 		require.Contains(t, err.Error(), what, text)
 	}
 	// Rows without end are given up at the first that was not asked for, not after they were all held.
 	endless := `{` + schema + `,"rows":[` + strings.Repeat(`[10,"a",1],`, 1_000_000)
-	n := testing.AllocsPerRun(1, func() { _, _ = ParseJSON([]byte(endless), districts, 3, 2, rank[:1]) })
+	n := testing.AllocsPerRun(1, func() { _, _ = ParseJSON([]byte(endless), want(2, rank[:1])) })
 	require.Less(t, n, 300.0)
 }
 
@@ -122,7 +177,7 @@
 		"too many":     {build(func(b *array.RecordBuilder) { one(b); one(b); one(b) }, meta, district, key), "3 rows, 2 were asked for"},
 		"null key":     {build(func(b *array.RecordBuilder) { b.Field(0).AppendEmptyValue(); b.Field(1).AppendNull() }, meta, district, key), "key"},
 	} {
-		_, err := FromArrow(c.rec, districts, 3, 2, nil)
+		_, err := FromArrow(c.rec, want(2, nil))
 		require.ErrorIs(t, err, ErrForm, name)
 		require.Contains(t, err.Error(), c.what, name)
 	}
@@ -134,7 +189,7 @@
 	f.Add(text)
 	f.Add([]byte(`{"version":7,"schema":[{"name":"premium","kind":"float"}],"rows":[[1,"a","NaN"]]}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		a, err := ParseJSON(text, districts, 3, 10, rank)
+		a, err := ParseJSON(text, want(10, rank))
 		if err != nil {
 			return
 		}
@@ -142,7 +197,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		b, err := ParseJSON(once, districts, 3, 10, rank)
+		b, err := ParseJSON(once, want(10, rank))
 		if err != nil {
 			t.Fatalf("%s: %v", once, err)
 		}
