Log map versions that are let go at their bound

Need: going through moving slices line by line, what happens at the bound of kept versions was decided and counted, and not logged. Change: one line for each map at which versions were let go. Result: a test holds 12 versions at a bound of 8: the line is there, and every query that began on them is answered whole.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -200,6 +200,7 @@
 	moves   Moves
 
 	onMap     func(*slicemap.Version)
+	letGo     uint64 // map versions, as of the last line that told of them
 	toldEpoch uint64 // of the map that the module knows
 }
 
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -288,6 +288,10 @@
 	if err == nil && c.Epoch() != c.toldEpoch {
 		c.toldEpoch = c.Epoch()
 		c.MapChanged(retired)
+		if n := c.slices.LetGo(); n != c.letGo {
+			c.log.Module(fmt.Sprintf("map versions at their bound: %d let go, %d in all", n-c.letGo, n))
+			c.letGo = n
+		}
 		if c.onMap != nil {
 			c.onMap(c.slices.Current())
 		}
--- a/internal/core/moving_test.go
+++ b/internal/core/moving_test.go
@@ -22,12 +22,13 @@
 	sent  []*Attempt // out, in the order in which they went
 	every []*Attempt
 	hints []uint64
+	lines []string
 	n     int
 }
 
 func (r *rig) Now() float64                  { return r.now }
 func (r *rig) WakeAt(at float64)             { r.wake = min(r.wake, at) }
-func (r *rig) Module(string)                 {}
+func (r *rig) Module(text string)            { r.lines = append(r.lines, text) }
 func (r *rig) Ended(*Request, Answer)        {}
 func (r *rig) Watch()                        {}
 func (r *rig) Send(a *Attempt)               { r.sent, r.every = append(r.sent, a), append(r.every, a) }
@@ -58,7 +59,7 @@
 // newRig has 8 slices of 10 districts, each on two of the nodes a to d in a ring.
 func newRig(t *testing.T) *rig {
 	r := &rig{t: t, now: 1e6, wake: 1e12}
-	r.m = slicemap.New(slicemap.Options{Number: func(n string) (uint32, bool) { return numberOf(n), true }})
+	r.m = slicemap.New(slicemap.Options{Versions: 8, Number: func(n string) (uint32, bool) { return numberOf(n), true }})
 	s := balance.Settings{Peers: 1, Tick: 5, Shards: 8, Cells: 4, Reach: 2, Layout: r.m, PerCall: 1, Cancel: true,
 		MaxAttempts: 4, MaxRetryAfter: 1000, DrainGrace: 1000, Classes: []balance.Class{
 			{Aim: 1000, Deadline: 2000, Worth: 2, LateWorth: 0.5, Effect: balance.Unsafe, Floor: 1, Need: 1},
@@ -381,6 +382,25 @@
 	require.Equal(t, next-1, r.every[4].Shard, "the last slice of that name's districts")
 }
 
+// Versions beyond the bound are let go, which is logged, and the queries that began on them are answered all the same.
+func TestVersionsAtTheirBound(t *testing.T) {
+	r := newRig(t)
+	var all []*ends
+	for i := range 12 {
+		all = append(all, r.ask(compare, 0, i%8))
+		r.change(slicemap.Change{Kind: slicemap.Assign, Slice: 7, Holders: []string{"a", "b", "c", "d"}[i%4 : i%4+1]})
+	}
+	require.Equal(t, 8, r.m.Stats().Kept)
+	require.Contains(t, r.lines, "map versions at their bound: 1 let go, 5 in all")
+	for len(r.sent) > 0 {
+		r.end(r.sent[0], balance.OK)
+	}
+	for _, e := range all {
+		require.True(t, r.one(e).Whole)
+	}
+	require.Equal(t, 1, r.m.Stats().Kept)
+}
+
 func TestNoMapNoService(t *testing.T) {
 	r := newRig(t)
 	m := slicemap.New(slicemap.Options{})
--- a/internal/slicemap/map.go
+++ b/internal/slicemap/map.go
@@ -377,6 +377,9 @@
 	return out
 }
 
+// LetGo is how many versions were let go at the bound.
+func (m *Map) LetGo() uint64 { return m.stats.LetGo }
+
 // Stats counts.
 func (m *Map) Stats() Stats {
 	s := m.stats
