Spread calls for the list over the peers; the watch begins at the known version

Counted from a trace of all calls: 57 whole lists at once at the start, then every watch failed, at once (queue full) or after 2 s (waited out). Calls that wait until they fail take their turn all the same: discovery served about 16 a second, 75 aggregators that came back every 2 to 4 s and waited 2 s each kept it full of dead calls.

At fault: the fixed bounds of the delay (balance.go, ListChanged: 0.5 to 4 s whatever the peers), and the whole list asked for before the watch when the known version is 0 (discovery/watch.go, Known). Now the delay after a failure spans a call of each peer at 60 ms (16 a second), twice that at most, the first call after a start is spread over half of it, and the watch begins at the version of the known list.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,6 +91,7 @@
 	coldMost    = 2.0   // ms of work in a ms: as much as one co-ordinator may believe a warm replica does
 	coldUnit    = 100.0 // ms of work a part is taken for while nothing has been seen
 	watchMost   = 4000  // ms: longest delay after a failed call for the list, the first is an eighth of it
+	askEach     = 60.0  // ms: what a call is taken to cost the list service; many peers space theirs out
 	weightSlack = 5e-5  // weights: rounding allowed by half of what the rule allows
 )
 
@@ -126,13 +127,18 @@
 func (b *Balancer) ListChanged(now float64, kind ListKind, entries []Entry) {
 	b.born = cmp.Or(b.born, now)
 	if kind == ListFailed {
-		// Ask again after a growing, spread delay: guards the list service against a crowd.
-		b.watchWait = min(max(2*b.watchWait, watchMost/8), watchMost, max(b.s.AskWithin/3, b.s.Tick))
+		// Ask again after a growing, spread delay: guards the list service against a crowd. Calls that wait there
+		// until they fail take their turn all the same, so all peers together ask for less than it can do.
+		crowd := b.crowd()
+		b.watchWait = min(max(2*b.watchWait, watchMost/8, crowd), max(watchMost, 2*crowd),
+			max(b.s.AskWithin/3, min(2*crowd, 2*b.s.AskWithin), b.s.Tick))
 		b.watchAt = now + b.watchWait*(0.5+0.5*b.random())
 		return
 	}
 	if b.watchWait, b.watchAt = 0, math.Inf(1); kind == ListCached && b.s.MustAsk {
-		b.watchAt = now // a restart begins with an old list
+		if b.watchAt = now; b.crowd() > 0 { // a restart begins with an old list, and may be everybody's
+			b.watchAt += b.crowd() / 2 * b.random()
+		}
 	}
 	seen := map[uint32]bool{}
 	for _, e := range entries {
@@ -172,6 +178,9 @@
 	})
 }
 
+// crowd is how long the list service needs, in ms, for a call of each peer; few are none.
+func (b *Balancer) crowd() float64 { return askEach * float64(max(0, b.s.Peers-fewPeers)) }
+
 // QueryArrived takes a query; its parts follow before EndTurn.
 func (b *Balancer) QueryArrived(now float64, in Query) {
 	b.taken.add(now, max(b.s.BudgetWindow, hedgeWindow))
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -51,7 +51,7 @@
 
 // Known takes the list that the configuration carries: possibly old, hence cached.
 func (w *Watcher) Known(l List) {
-	w.revision, w.have = l.Revision, l.Revision > 0
+	w.revision, w.have = l.Revision, l.Revision > 0 || len(l.Members) > 0
 	l.Complete = true
 	w.core.ListChanged(balance.ListCached, w.nodes.Apply(l, w.shift()))
 }
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -31,11 +31,13 @@
 		panic(err)
 	}
 	built = filepath.Join(dir, "ternstage")
-	args := []string{"build", "-o", built}
+	args := []string{"build", "-ldflags=-linkmode=external", "-o", built} // as deploy/balancer.toml does
 	if os.Getenv("TERNSTAGE_RACE") != "" {
 		args = append(args, "-race")
 	}
-	if out, err := exec.Command("go", append(args, "../cmd/ternstage")...).CombinedOutput(); err != nil {
+	build := exec.Command("go", append(args, "../cmd/ternstage")...)
+	build.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if out, err := build.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"debug/elf"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -223,6 +224,36 @@
 	require.Eventually(t, func() bool { return p.health() == 200 }, patience, time.Millisecond)
 }
 
+// TestWatchBeginsAtTheKnownVersion: a list that came with the configuration is no reason to ask for all of it
+// again, whatever its version: a whole list is many lines, and a large fleet starts at one moment.
+func TestWatchBeginsAtTheKnownVersion(t *testing.T) {
+	ns := startNodes(t, wires[0], nil)
+	d := newDiscovery(t, ns.members)
+	d.list.Revision = 0
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": freeAddress(t), "discovery": d.addr,
+		"seed": "1", "known": d.list, "settings": settings()})
+	require.NoError(t, err)
+	launch(t, text)
+	calls := func() int { d.mu.Lock(); defer d.mu.Unlock(); return len(d.targets) }
+	require.Eventually(t, func() bool { return calls() > 0 }, patience, time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	assert.Equal(t, "/catalog/members?index=0&wait=3000", d.targets[0])
+}
+
+// TestProgramIsLinkedDynamically: the platform loads a library of its own into the program, which a static one
+// would pass over in silence.
+func TestProgramIsLinkedDynamically(t *testing.T) {
+	f, err := elf.Open(built)
+	require.NoError(t, err)
+	defer f.Close()
+	interp := f.Section(".interp")
+	require.NotNil(t, interp, "the program names no interpreter")
+	libs, err := f.ImportedLibraries()
+	require.NoError(t, err)
+	assert.Contains(t, libs, "libc.so.6")
+}
+
 // TestFrames: calls share a connection up to the streams of the settings, and d is what remains.
 func TestFrames(t *testing.T) {
 	s := settings()
