Cold leafs: shares are rounded by an even turn, and grow while a leaf answers as others do

Counted over the fleet: only 1 to 7% of the choices among holders found a cold leaf lawful, at every age of the leaf; where lawful it was picked in 55%. Ruled out: late lists (all 80 knew the leafs 1 s after their start), levels (1.1 to 1.3) and health (all fit).

At fault: coldLeft. A share under two parts was none unless its slot came, half of the allowance was set aside for windows that cross slots, and a part counted as long as usual latency, which a jam had raised from 25 to 30 to 55 ms for 18 ms of work. Now a small share is rounded to whole parts by a turn that is spread evenly over the peers and moves with the leaf's age; a part counts as the least usual latency of late; and a small share grows twofold, up to two parts, while the leaf answers as others do: of many such shares few are used up in one window.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,9 +85,11 @@
 	answerSpare = 10.0  // ms, and a tick: so long before the client leaves the final answer is out
 	sweepEvery  = 10.0  // ms between sweeps; finer than any latency judged
 	coldShare   = 0.7   // of the cold allowance used: the rest is for errors of the estimate
-	coldGrant   = 2.0   // mean parts' work: a smaller share of the allowance is of no use, and peers take turns
-	coldStride  = 0.618 // circles: how far turns move on in a slot; the golden ratio leaves nobody out for long
-	coldBeside  = 6.0   // x: at most so many times the turns: twice the other fit replicas of the shard
+	coldTrust   = 2.0   // x such a share while the replica answers as others do: few peers fill it at a time
+	coldEasy    = 1.3   // x the fleet's level up to which it does
+	coldGrant   = 2.0   // mean parts' work: a smaller share of the allowance is rounded to whole parts
+	coldStride  = 0.618 // circles: how far apart replicas' turns begin; the golden ratio spreads them
+	calmGain    = 5e-4  // weight of the newest usual latency in the least one, where it is above it
 	coldMost    = 2.0   // ms of work in a ms: as much as one co-ordinator may believe a warm replica does
 	coldUnit    = 100.0 // ms of work a part is taken for while nothing has been seen
 	watchMost   = 4000  // ms: longest delay after a failed call for the list, the first is an eighth of it
@@ -493,7 +495,7 @@
 	var bestKey [3]float64
 	dear := b.dear()
 	for _, r := range b.holdersOf(shard) {
-		if !b.lawful(now, r, shard, cost) {
+		if !b.lawful(now, r) {
 			continue
 		}
 		level := b.levelOf(now, r)
@@ -536,9 +538,9 @@
 	return b.s.Peers <= fewPeers || level <= jamLevel*b.fleet || now >= r.used+b.usual*float64(b.s.Peers)/jamPace
 }
 
-// lawful is what the rules of drains and cold replicas allow for a part's shard.
-func (b *Balancer) lawful(now float64, r *replica, shard int, cost float64) bool {
-	return r.State != Gone && now <= r.informed+b.s.DrainGrace/2 && b.coldLeft(now, r, shard) >= b.work(cost)
+// lawful is what the rules of drains and cold replicas allow.
+func (b *Balancer) lawful(now float64, r *replica) bool {
+	return r.State != Gone && now <= r.informed+b.s.DrainGrace/2 && b.coldLeft(now, r) >= b.coldWork(1)
 }
 
 // warm tells that no cold start of a replica is known, or that it is over.
@@ -547,35 +549,30 @@
 }
 
 // coldLeft is what is left, in ms of work, of our share of a cold replica's allowance; it is taken for as
-// cold as half a window ago. Where an even share is under coldGrant, peers take turns by index, replica and
-// clock: in a slot as long as the window some share half the allowance, which bounds the sum in any window.
-// Parts spread over a shard's fit replicas: beside others turns find little to send, and more peers get one.
-func (b *Balancer) coldLeft(now float64, r *replica, shard int) float64 {
+// cold as half a window ago. A small share is rounded to whole parts, up or down by a turn that is spread
+// evenly over the peers and moves with the replica's age, which all know, once round by the end of its ramp:
+// together they have the allowance in any window. Of many such shares few are used up in one window, so they
+// grow while the replica answers as others do. Guards against 80 half parts that are 80 parts, or none.
+func (b *Balancer) coldLeft(now float64, r *replica) float64 {
 	if b.warm(now, r) {
 		return math.Inf(1)
 	}
 	if now < b.born+b.s.FallFor {
 		return 0 // what it sent before a restart is forgotten, and still counts
 	}
-	ramp := min(1, max(0, now-r.warmFrom-b.s.FallFor/2)/max(b.s.ColdFor, 1))
-	all := coldShare * b.cores * b.s.FallMultiple * (b.s.ColdFrom + (1-b.s.ColdFrom)*ramp) * b.s.FallFor
-	share, from := all/float64(b.s.Peers), now-b.s.FallFor
-	if grant := coldGrant * b.work(1); share < grant {
-		fit, peers, slot := 0.0, float64(b.s.Peers), math.Floor(now/b.s.FallFor)
-		some := max(1, math.Floor(all/2/grant))
-		share, from = all/2/some, slot*b.s.FallFor
-		turn := math.Mod(float64(b.s.Me)/peers+(slot+float64(r.Replica))*coldStride, 1) * peers
-		for _, o := range b.holdersOf(shard) {
-			if turn >= some && turn < some*coldBeside && b.fit(now, o) { // only where it decides
-				fit++
-			}
-		}
-		if turn >= some*max(1, min(2*fit-2, coldBeside)) {
-			return 0
+	age, peers := max(0, now-r.warmFrom-b.s.FallFor/2), float64(b.s.Peers)
+	all := coldShare * b.cores * b.s.FallMultiple * b.s.FallFor *
+		(b.s.ColdFrom + (1-b.s.ColdFrom)*min(1, age/max(b.s.ColdFor, 1)))
+	share := all / peers
+	if part := b.coldWork(1); share < coldGrant*part {
+		if r.level.at > r.warmFrom && b.levelOf(now, r) < coldEasy*b.fleet {
+			share = min(coldTrust*share, coldGrant*part)
 		}
+		turn := math.Mod(float64(b.s.Me)/peers+float64(r.Replica)*coldStride+age/max(b.s.ColdFor, 1), 1)
+		share = math.Floor(max(share/part-b.s.FallFor/max(b.s.ColdFor, 1), share/part/2)+turn) * part
 	}
 	for _, w := range r.cold {
-		if w.at >= from {
+		if w.at >= now-b.s.FallFor {
 			share -= w.v
 		}
 	}
@@ -587,6 +584,12 @@
 	return cmp.Or(max(b.unit, b.usual), coldUnit) * max(cost, 1)
 }
 
+// coldWork is the same for the allowance of cold replicas: waiting is no work, so the least usual latency of
+// late counts.
+func (b *Balancer) coldWork(cost float64) float64 {
+	return cmp.Or(max(b.unit, b.calm), coldUnit) * max(cost, 1)
+}
+
 // fit tells whether a replica is to be used as usual. Peers are the measure: where all are slow none is a
 // suspect. Guards against slow, stalled, failing and unreachable replicas; may starve an unlucky one until
 // that fades.
@@ -667,6 +670,7 @@
 		b.harm = slices.DeleteFunc(b.harm, func(l *loss) bool { return l.key == a.part.q.Key })
 		x := res.Latency / b.callCost(a)
 		b.usual = b.quantile(x)
+		b.calm = min(cmp.Or(b.calm, b.usual)*(1-calmGain)+b.usual*calmGain, b.usual)
 		whole := b.usual * (a.call.cost + b.callCost(a) - a.part.cost)
 		b.partTime += (b.usual*b.callCost(a) - b.partTime) * meanGain
 		b.callTime = (1-meanGain)*cmp.Or(b.callTime, whole) + meanGain*whole
@@ -924,7 +928,7 @@
 // send starts an attempt. Every attempt passes here, and every rule on sending is checked here.
 func (b *Balancer) send(now float64, p *part, r *replica) bool {
 	q, left := p.q, p.q.Deadline-b.spare-now
-	if q.ended || p.in || left <= 0 || !b.lawful(now, r, p.Shard, p.cost) {
+	if q.ended || p.in || left <= 0 || !b.lawful(now, r) {
 		return false
 	}
 	if len(p.attempts) > 0 {
@@ -946,7 +950,7 @@
 		idle = 0
 	}
 	r.used = now
-	r.cold = append(r.cold, stamp{now, b.work(p.cost)})
+	r.cold = append(r.cold, stamp{now, b.coldWork(p.cost)})
 	r.cold = slices.DeleteFunc(r.cold, func(w stamp) bool { return w.at < now-b.s.FallFor })
 	c := r.turnCall
 	if r.turn != b.turn || c == nil || c.size >= b.s.PerCall || c.left == 0 {
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,7 +1,10 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand"
+	"slices"
 	"testing"
 
 	"ternstage/internal/slicemap"
@@ -116,3 +119,258 @@
 		t.Fatalf("80 unpaced co-ordinators got through: %v", counts)
 	}
 }
+
+// fleet is a ring of replicas that serve parts one behind the other, and the co-ordinators before them, all on
+// one clock. Work of a part is 18 ms, a warm replica does 2 ms of work in a ms.
+type fleet struct {
+	t        *testing.T
+	s        Settings
+	now      float64
+	all      []*member
+	replicas []*server
+	due      []*fleetTry // in order of their ends
+	rnd      *rand.Rand
+	next     uint64
+}
+
+type server struct {
+	ready    float64 // 0 for long ago
+	busy     float64
+	hung     bool
+	work     []stamp // received
+	sent, ok int
+}
+
+type fleetTry struct {
+	m       *member
+	part    uint64
+	no      int
+	replica uint32
+	sent    float64
+	end     float64
+	outcome Outcome
+	over    bool
+}
+
+type member struct {
+	quiet
+	f        *fleet
+	b        *Balancer
+	tries    map[uint64][]*fleetTry
+	answered int
+	failed   int // refused or failed
+}
+
+const (
+	fleetWork  = 18.0 // ms of a part
+	fleetCores = 2.0
+)
+
+func newFleet(t *testing.T, peers int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, now: 1e6, rnd: rand.New(rand.NewSource(5)), s: Settings{
+		Classes: []Class{{Aim: 400, Deadline: 1000, Worth: 1, LateWorth: 0.3, Effect: Safe, Floor: 1, Need: 1}},
+		Peers:   peers, Tick: 1, Shards: 12, Cells: 6, Reach: 3, PerCall: 1, Cancel: true, MaxAttempts: 4,
+		MaxRetryAfter: 1000, DrainGrace: 1000, ColdFrom: 0.21, ColdFor: 18000, FallMultiple: 2.5, FallFor: 1500}}
+	f.s.Layout = slicemap.NewFixed(f.s.Shards, f.s.Cells, f.s.Reach)
+	for range f.s.Cells {
+		f.replicas = append(f.replicas, &server{})
+	}
+	for i := range peers {
+		m := &member{f: f, tries: map[uint64][]*fleetTry{}}
+		s := f.s
+		s.Me = i
+		var err error
+		if m.b, err = New(s, uint64(i)*7919+3, m); err != nil {
+			t.Fatal(err)
+		}
+		f.all = append(f.all, m)
+	}
+	f.list()
+	return f
+}
+
+// list tells everybody of all replicas.
+func (f *fleet) list() {
+	var es []Entry
+	for i, r := range f.replicas {
+		es = append(es, Entry{Replica: uint32(i), Cell: i, State: Ready, ReadyAt: r.ready})
+	}
+	for _, m := range f.all {
+		m.b.ListChanged(f.now, ListFull, es)
+	}
+}
+
+// able is how much work a replica does in a ms.
+func (f *fleet) able(r *server, at float64) float64 {
+	if r.ready == 0 {
+		return fleetCores
+	}
+	ramp := min(1, (at-r.ready)/f.s.ColdFor)
+	return fleetCores * (f.s.ColdFrom + (1-f.s.ColdFrom)*ramp)
+}
+
+func (m *member) Answer(uint64, bool)    { m.answered++ }
+func (m *member) Refuse(uint64, float64) { m.failed++ }
+func (m *member) Fail(uint64)            { m.failed++ }
+
+func (m *member) Send(part uint64, replica uint32, timeout float64) {
+	f := m.f
+	r := f.replicas[replica]
+	r.sent++
+	r.work = append(r.work, stamp{f.now, fleetWork})
+	e := &fleetTry{m: m, part: part, no: len(m.tries[part]), replica: replica, sent: f.now}
+	m.tries[part] = append(m.tries[part], e)
+	if e.end = f.now + timeout; timeout == 0 {
+		e.end = f.now + 1000
+	}
+	if e.outcome = TimedOut; !r.hung {
+		work := fleetWork * (0.5 + f.rnd.Float64())
+		r.busy = max(r.busy, f.now) + work/f.able(r, f.now)
+		// One part alone takes a core's time, not that of two.
+		if done := max(r.busy, f.now+work/f.able(r, f.now)*fleetCores); done < e.end {
+			e.end, e.outcome = done, OK
+			r.ok++
+		}
+	}
+	i, _ := slices.BinarySearchFunc(f.due, e, func(x, y *fleetTry) int { return cmp.Compare(x.end, y.end) })
+	f.due = slices.Insert(f.due, i, e)
+}
+
+func (m *member) Cancel(part uint64, no int) {
+	if e := m.tries[part][no]; !e.over && e.outcome != Cancelled {
+		f := m.f
+		f.due = slices.DeleteFunc(f.due, func(x *fleetTry) bool { return x == e })
+		e.end, e.outcome = f.now, Cancelled
+		f.due = slices.Insert(f.due, 0, e)
+	}
+}
+
+// run steps the fleet for so long: so many queries a second of so many parts over all co-ordinators.
+func (f *fleet) run(ms, rate float64, parts int) {
+	for end := f.now + ms; f.now < end; f.now++ {
+		for len(f.due) > 0 && f.due[0].end <= f.now {
+			e := f.due[0]
+			f.due, e.over = f.due[1:], true
+			e.m.b.AttemptEnded(f.now, Result{Part: e.part, Attempt: e.no, Replica: e.replica, Outcome: e.outcome,
+				Latency: f.now - e.sent})
+		}
+		if f.rnd.Float64() < rate/1000 {
+			m := f.all[f.rnd.Intn(len(f.all))]
+			f.next++
+			q := f.next
+			m.b.QueryArrived(f.now, Query{ID: q, Group: int(q), Deadline: f.now + 1000})
+			first := f.rnd.Intn(f.s.Shards)
+			for i := range parts {
+				f.next++
+				m.b.PartArrived(f.now, Part{ID: f.next, Group: int(q), Shard: (first + i) % f.s.Shards,
+					Weight: 1 / float64(parts), Hint: fleetWork, HasHint: true})
+			}
+		}
+		for _, m := range f.all {
+			m.b.Woken(f.now)
+			m.b.EndTurn(f.now)
+		}
+	}
+}
+
+func (f *fleet) counts() (answered, failed int) {
+	for _, m := range f.all {
+		answered, failed = answered+m.answered, failed+m.failed
+	}
+	return
+}
+
+// pressure is the most that a replica was sent in any window, by what the rule of cold starts allows there.
+func (f *fleet) pressure(r *server, from float64) (most float64) {
+	for i, x := range r.work {
+		sum := 0.0
+		for j := i; j >= 0 && r.work[j].at > x.at-f.s.FallFor; j-- {
+			sum += r.work[j].v
+		}
+		if x.at > from {
+			most = max(most, sum/(f.able(r, x.at-f.s.FallFor/2)*f.s.FallMultiple*f.s.FallFor))
+		}
+	}
+	return most
+}
+
+// TestFleetFeedsAColdReplicaWithinTheRule: 80 co-ordinators hear at one moment that a replica has started, as
+// cold and as slow to warm as the rules let it be. Summed over all of them it stays within the rule in every
+// window, also where a second holder is gone, and it is used for what it can do.
+func TestFleetFeedsAColdReplicaWithinTheRule(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rate  float64 // queries a second of six parts: 100 replica parts a second are what a warm one can do
+		least float64 // share of what it can do that it is given in its first 6 s
+		cold  []int
+	}{{"alone", 60, 0.35, []int{0}}, {"all holders of a shard", 60, 0.35, []int{0, 1, 2}}, {"busy", 80, 0.4, []int{0}},
+		{"jammed", 105, 0.4, []int{0}}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, 80)
+			f.run(6000, c.rate, 6)
+			for _, i := range c.cold {
+				f.replicas[i].ready, f.replicas[i].sent = f.now-500, 0
+				f.replicas[i].work = nil
+			}
+			f.list()
+			at := f.now
+			f.run(6000, c.rate, 6)
+			for _, i := range c.cold {
+				r := f.replicas[i]
+				could := 0.0
+				for x := at; x < f.now; x++ {
+					could += f.able(r, x)
+				}
+				used, most := float64(r.sent)*fleetWork/could, f.pressure(r, at)
+				t.Logf("replica %d: %.2f of what it could do, %.2f of the rule at most", i, used, most)
+				if most > 0.9 || used < c.least {
+					t.Errorf("replica %d: %.2f of what the rule allows, %.2f of what it could do", i, most, used)
+				}
+			}
+		})
+	}
+}
+
+// TestWaitingIsNoWork: a jam makes usual latencies several times as long, and the parts no dearer: the allowance of
+// a replica that starts meanwhile is counted in what they took before.
+func TestWaitingIsNoWork(t *testing.T) {
+	g := newRig(t, settings())
+	g.fleet(ListFull)
+	for range 60 {
+		g.hinted(0, 20, 0, 2, 4)
+		g.turn()
+		g.pass(40, g.after(30))
+	}
+	calm := g.b.coldWork(1)
+	for range 200 {
+		g.hinted(0, 20, 0, 2, 4)
+		g.turn()
+		g.pass(120, g.after(100))
+	}
+	if g.b.usual < 2*calm || g.b.coldWork(1) > 1.5*calm {
+		t.Fatalf("usual %v ms in a jam, parts are taken for %v and then %v ms", g.b.usual, calm, g.b.coldWork(1))
+	}
+}
+
+// TestColdReplicaEarnsAndLosesTrust: a small share of an allowance grows while the replica answers as others do,
+// and is the bare share again as soon as it does not.
+func TestColdReplicaEarnsAndLosesTrust(t *testing.T) {
+	f := newFleet(t, 80)
+	f.run(4000, 60, 6)
+	f.replicas[0].ready = f.now
+	f.list()
+	f.run(4000, 60, 6)
+	left := func(level float64, at float64) (sum float64) {
+		for _, m := range f.all {
+			r := m.b.replicas[0]
+			r.level, r.out, r.cold = stamp{at, level - 1}, nil, nil
+			sum += m.b.coldLeft(f.now, r) / m.b.coldWork(1)
+		}
+		return sum
+	}
+	unknown, easy, slow := left(1, f.replicas[0].ready-1), left(1, f.now), left(3, f.now)
+	if easy < 1.5*unknown || slow != unknown {
+		t.Fatalf("parts in all: %v unknown, %v answering as others do, %v slow", unknown, easy, slow)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -26,8 +26,8 @@
 	byGroup              map[int]*query
 	parts                map[uint64]*part
 	out                  map[[2]uint64]*attempt
-	unit, hints          float64 // mean hint, and how many there were
-	usual                float64
+	unit, hints          float64       // mean hint, and how many there were
+	usual, calm          float64       // calm: the least usual latency of late
 	first                []float64     // the first latencies, sorted
 	fleet                float64       // the fleet's level: median over all results, 1 at least
 	lastEnd, gap         float64       // time of the last result and mean time between them
