Hung leafs among many are no sign that idle connections are dropped unseen

At fault: idleEnds. An aggregator that meets each of 60 leafs every 1.4 s has no connection in use, so whatever hangs hangs on an idle one; two in a row were doubt, and while in doubt every connection is new, so nothing could clear it for 45 s. Now a hang or reset weighs less by the square of the replicas over 20, and a replica's hangs count once until it answers. Up to 20 replicas nothing changes.

Test: nine of 60 hung close nothing, 60 of 60 do; without the change the nine close 134 times.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,6 +52,7 @@
 	fleetParts  = 8.0   // parts: those of a longer query move the fleet's level no more than so many
 	idleLeast   = 250.0 // ms: what fails at once on a connection unused for so long was lost with it
 	idleGain    = 0.3   // weight of the newest send on an idle connection: two that hang in a row are doubt
+	idleFew     = 20.0  // replicas up to which one hang or reset weighs all that; among more by the square less
 	idleDoubt   = 0.35  // doubt from which idle connections are closed before a send
 	idleMemory  = 30000 // ms: half-life of that doubt; then idle connections are tried again
 	quickReset  = 0.5   // mean parts' work: a reset or refused connection so soon tells of no work done
@@ -751,19 +752,25 @@
 
 // idleEnds learns what became of a send on an idle connection and tells that its replica is not to blame: a
 // reset at once, or hanging where most do, tells that idle connections are dropped unseen; then they are
-// closed before a send. Guards sound replicas and unsafe parts; costs handshakes, which may be slow.
+// closed before a send. Guards sound replicas and unsafe parts; costs handshakes, which may be slow. Among
+// many replicas each is met on an idle connection, so one that hangs for all says little, and once only.
 func (b *Balancer) idleEnds(now float64, a *attempt, o Outcome, reset bool) bool {
 	hung := (o == TimedOut || o == Cancelled) && !a.passed && now-a.sent > hedgeAfter*b.fleet*b.expect(a)
-	doubt := decay(b.idleLost, now, idleMemory)
+	doubt, weight := decay(b.idleLost, now, idleMemory), min(1, math.Pow(idleFew/float64(len(b.order)+1), 2))
 	if a.idle >= idleLeast && o == OK || a.idle < idleLeast && hung { // hanging has another cause
 		b.idleLost = stamp{now, doubt * (1 - idleGain)}
 	}
+	if o == OK {
+		a.r.idleHung = false
+	}
 	if a.idle < idleLeast || !reset && !hung {
 		return false
 	}
-	b.idleLost = stamp{now, doubt + (1-doubt)*idleGain}
-	if reset {
-		b.idleLost.v, a.r.used = 1, 0
+	if !a.r.idleHung || weight == 1 || reset {
+		b.idleLost = stamp{now, doubt + (1-doubt)*idleGain*weight}
+	}
+	if a.r.idleHung = true; reset {
+		b.idleLost.v, a.r.used = max(b.idleLost.v, weight), 0
 	}
 	return b.idleLost.v > idleDoubt
 }
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand"
 	"slices"
+	"strings"
 	"testing"
 
 	"ternstage/internal/slicemap"
@@ -374,3 +375,40 @@
 		t.Fatalf("parts in all: %v unknown, %v answering as others do, %v slow", unknown, easy, slow)
 	}
 }
+
+// TestHungReplicasOfManyAreNoIdleDrops: a co-ordinator that meets each of 60 replicas every other second does so on
+// connections that have been idle. Nine that hang are no sign that these are dropped; all that hang are.
+func TestHungReplicasOfManyAreNoIdleDrops(t *testing.T) {
+	for _, c := range []struct {
+		hung  uint32
+		drops bool
+	}{{9, false}, {60, true}} {
+		s := settings()
+		s.Peers, s.Cells, s.Shards, s.SecondCopies = 80, 60, 60, false
+		g := newRig(t, s)
+		g.fleet(ListFull)
+		for i := range 30 {
+			var shards []int
+			for j := range 24 {
+				shards = append(shards, (i*13+j)%60)
+			}
+			g.query(0, shards...)
+			g.turn()
+			bad := func(a *rigSend) bool { return i >= 10 && a.replica <= c.hung }
+			g.pass(600, func(a *rigSend) {
+				if g.now >= a.at+20 && !bad(a) {
+					g.end(a, OK)
+				}
+			})
+		}
+		dropped := 0
+		for _, l := range g.log {
+			if strings.Contains(l, " drop ") {
+				dropped++
+			}
+		}
+		if (dropped > 0) != c.drops {
+			t.Errorf("%d of 60 hang: %d times closed", c.hung, dropped)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -122,6 +122,7 @@
 	room, cutAt float64 // cost out that it carries at its usual latency; when that was last cut
 	shutUntil   float64 // it turned a part away as full
 	used        float64 // when our connection to it last carried something; 0 if there is none
+	idleHung    bool    // a part on an idle connection has hung there, and nothing has come back since
 	out         []*attempt
 	turn        int
 	turnCall    *callOut
