Refuse at once what the list names no holders for; two thirds replaced in one list

A query with a slice that no listed leaf holds waited in its queue until its aim (1,005 ms in a probe) before it was refused: admit did not ask whether anybody holds it. Now it is refused at once, with advice when to come back, unless what is held suffices for an answer in part. The test fails without the change; a second one replaces two thirds of the list in one answer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -342,9 +342,11 @@
 	// Overload: refuse at the door, least worth for work first. It shows in parts held and, among many peers,
 	// where each holds little, in the fleet's room; what is larger than the room is let in at a pace. May refuse
 	// what a jam about to end would serve.
-	worst, cost := 0.0, 0.0
+	worst, cost, listed := 0.0, 0.0, 0.0
 	for _, p := range q.parts {
-		cost += p.cost
+		if cost += p.cost; len(b.holdersOf(p.Shard)) > 0 {
+			listed += p.Weight
+		}
 		worst = max(worst, now-b.held(p.Shard, now))
 	}
 	worth := q.value / b.maxWorth
@@ -354,7 +356,9 @@
 	if shed && (b.load > room || worst > 0) {
 		b.jamAt = now
 	}
-	if shed || len(q.parts) == 0 || now >= q.Deadline-b.spare || b.lossOf(q.Key).harmful(now) {
+	// What the list names no holders for is not waited for: the client can come back.
+	if shed || len(q.parts) == 0 || q.step == 0 && listed < q.class.Floor-weightSlack ||
+		now >= q.Deadline-b.spare || b.lossOf(q.Key).harmful(now) {
 		b.finish(now, q)
 		return
 	}
--- /dev/null
+++ b/balance/hard_test.go
@@ -0,0 +1,62 @@
+package balance
+
+import "testing"
+
+// TestNoHolderListed: what the list names no holder for is refused at once, with advice when to come back; where
+// enough of a query is held, it is answered in part as ever.
+func TestNoHolderListed(t *testing.T) {
+	g := newRig(t, settings())
+	g.list(ListFull, Entry{Replica: 4, Cell: 3, State: Ready})
+	q := g.query(0, 0)
+	g.turn()
+	g.mustEnd(q, "refuse")
+	if q.finished != g.now || g.refused[q.q.ID] <= 0 || len(g.sends) > 0 {
+		t.Fatalf("refused at %v of %v, come back after %v", q.finished, g.now, g.refused[q.q.ID])
+	}
+	half := g.query(1, 0, 3)
+	g.turn()
+	g.pass(3500, g.after(20))
+	if g.mustEnd(half, "answer"); half.whole {
+		t.Fatal("marked whole")
+	}
+}
+
+// TestTwoThirdsOfTheListReplacedAtOnce: one answer names other machines in the place of four of six; what was out
+// at the old ones and what comes next is answered, by the new ones too.
+func TestTwoThirdsOfTheListReplacedAtOnce(t *testing.T) {
+	g := newRig(t, settings())
+	g.fleet(ListFull)
+	g.warm()
+	var qs []*rigQuery
+	for i := range 4 {
+		qs = append(qs, g.query(0, i, i+1, i+2))
+	}
+	g.turn()
+	es := []Entry{{Replica: 5, Cell: 4, State: Ready}, {Replica: 6, Cell: 5, State: Ready}}
+	for i := range 4 {
+		es = append(es, Entry{Replica: uint32(101 + i), Cell: i, State: Ready, ReadyAt: g.now - 100})
+	}
+	g.list(ListFull, es...)
+	old := len(g.sends)
+	g.pass(100, g.after(20))
+	for i := range 100 {
+		qs = append(qs, g.query(0, i%6))
+		g.turn()
+		g.pass(30, g.after(20))
+	}
+	g.pass(200, g.after(20))
+	used := map[uint32]bool{}
+	for _, a := range g.sends[old:] {
+		if used[a.replica] = true; a.replica <= 4 && a.at > 1e6+g.s.DrainGrace+1e5 {
+			t.Fatalf("sent to %d, which is gone", a.replica)
+		}
+	}
+	for _, q := range qs {
+		g.mustEnd(q, "answer")
+	}
+	for id := uint32(101); id <= 104; id++ {
+		if !used[id] {
+			t.Errorf("replica %d is never used", id)
+		}
+	}
+}
