--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -87,7 +87,8 @@
 	c.Attach(back, watch)
 	watch.Known(cfg.Known)
 	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
-		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes, Pages: x.pages(c, m)},
+		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes, Pages: x.pages(c, m),
+			Inherited: cfg.Inherited},
 		func() bool { return nodes.Size() > 0 && (m == nil || c.Epoch() > 0) })
 	if err != nil {
 		return err
@@ -101,7 +102,11 @@
 	}
 	l.OnTurn(c.Turn)
 
-	stop := &stopper{loop: l, core: c, server: server, longest: min(cfg.Book.Longest(), killMost)}
+	stop := &stopper{loop: l, core: c, server: server, longest: min(cfg.Book.Longest(), killMost),
+		listenFor: listenOn}
+	if cfg.Inherited > 0 {
+		stop.listenFor = 0 // who takes over accepts on the same socket, and what waits in it is left to them
+	}
 	if fc.Enabled {
 		if stop.front, err = flight.Listen(fc, l, c, cfg.Book, log); err != nil {
 			return err
@@ -158,8 +163,10 @@
 	front   *flight.Front // nil where Flight is off
 	timer   *loop.Timer
 	longest float64 // ms: the longest deadline, as it puts SIGKILL off
-	began   float64
-	ending  bool // the Flight front is
+	// ms after SIGTERM in which connections are still accepted
+	listenFor float64
+	began     float64
+	ending    bool // the Flight front is
 }
 
 func (s *stopper) begin() {
@@ -174,7 +181,8 @@
 func (s *stopper) step() {
 	const every = 10.0
 	past := s.loop.Now() - s.began
-	if past >= max(s.longest, listenOn) || past >= listenOn && s.server.Open() == 0 {
+	if past >= max(s.longest, s.listenFor) || past >= s.listenFor && s.server.Open() == 0 ||
+		s.listenFor == 0 {
 		s.server.StopListening()
 		if s.front != nil && !s.ending {
 			s.ending = true
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"math"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"ternstage/internal/contract"
@@ -46,6 +47,7 @@
 	budget   int // bytes that all connections may hold
 	held     int // bytes that they do
 	fd       int
+	kept     bool // the listener is the platform's, which keeps it across processes
 	conns    map[*conn]struct{}
 	timer    *loop.Timer // looks after slow clients
 	again    *loop.Timer // accepts again
@@ -60,17 +62,30 @@
 	Conns int                      // connections
 	Bytes int                      // of requests and answers on them, at any moment
 	Pages map[string]func() []byte // further paths that show something, as JSON, and who writes it
+
+	// Inherited is a listening socket that the process was given, used in place of one on the address; 0 or
+	// less for none (descriptor 0 is never one).
+	Inherited int
 }
 
 // NewServer listens. ready tells whether the program serves.
 func NewServer(l *loop.Loop, c Core, b *contract.Book, log *logs.Log, address string, o Options,
 	ready func() bool) (*Server, error) {
-	fd, err := loop.Listen(address)
+	fd, err := o.Inherited, error(nil)
+	if fd > 0 {
+		var at string
+		if at, err = loop.Inherit(fd); err == nil && at != address {
+			log.Info("the inherited listener is not on the address", zap.String("listen", address),
+				zap.String("inherited", at), zap.Int("fd", fd))
+		}
+	} else {
+		fd, err = loop.Listen(address)
+	}
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{loop: l, core: c, book: b, log: log, ready: ready, most: max(o.Conns, 1), budget: o.Bytes,
-		fd: fd, conns: map[*conn]struct{}{}, pages: o.Pages}
+		fd: fd, kept: o.Inherited > 0, conns: map[*conn]struct{}{}, pages: o.Pages}
 	s.timer, s.again = l.NewTimer(s.tend), l.NewTimer(s.accept)
 	if err := l.Add(fd, unix.EPOLLIN, s); err != nil {
 		return nil, err
@@ -181,12 +196,15 @@
 func (s *Server) Drain() { s.draining = true }
 
 // StopListening takes what the kernel has accepted for us, closes the listener and idle connections, and
-// makes every answer from now on the last of its connection.
+// makes every answer from now on the last of its connection. A listener that the platform keeps is left with
+// what waits in it, for the process that takes over.
 func (s *Server) StopListening() {
 	if s.fd < 0 {
 		return
 	}
-	s.accept()
+	if !s.kept {
+		s.accept()
+	}
 	s.loop.Close(s.fd)
 	s.fd, s.ending = -1, true
 	s.again.Stop()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,6 +21,8 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Mgmt      string // the operators' door, "" for none
+	Inherited int    // the clients' listener that the process was given, -1 for none
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
@@ -41,6 +43,7 @@
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
+	Mgmt      string `json:"mgmt"`
 	Seed      string `json:"seed"`
 	Limits    struct {
 		Cores    *float64 `json:"cores"`
@@ -90,7 +93,10 @@
 // ErrNone tells that no configuration is named.
 var ErrNone = errors.New("BALANCER_CONFIG: missing")
 
-const envDiscovery = "BALANCER_DISCOVERY"
+const (
+	envDiscovery = "BALANCER_DISCOVERY"
+	envInherited = "BALANCER_INHERITED_FD" // the descriptor of a listener for clients that the platform keeps
+)
 
 // Load reads the file that BALANCER_CONFIG names; BALANCER_NAME, _LISTEN and _DISCOVERY override it.
 func Load() (*Config, error) { return load(false) }
@@ -120,12 +126,14 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"BALANCER_NAME", &f.Name}, {"BALANCER_LISTEN", &f.Listen}, {envDiscovery, &f.Discovery}} {
+	}{{"BALANCER_NAME", &f.Name}, {"BALANCER_LISTEN", &f.Listen}, {envDiscovery, &f.Discovery},
+		{"BALANCER_MGMT", &f.Mgmt}} {
 		if s := env(v.name); s != "" && !(again && v.name == envDiscovery && f.Discovery != "") {
 			*v.to = s
 		}
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Mgmt: f.Mgmt, Inherited: -1,
+		Known: f.Known,
 		Cores: or(f.Limits.Cores, defaultCores), MemoryMB: or(f.Limits.MemoryMB, defaultMemoryMB),
 		Sockets: or(f.Limits.Sockets, defaultSockets)}
 	if c.Name == "" {
@@ -136,6 +144,18 @@
 			return nil, fmt.Errorf("%s: %w", a[0], err)
 		}
 	}
+	if c.Mgmt != "" {
+		if _, err := netip.ParseAddrPort(c.Mgmt); err != nil {
+			return nil, fmt.Errorf("mgmt: %w", err)
+		}
+	}
+	if text := env(envInherited); text != "" {
+		n, err := strconv.ParseUint(text, 10, 31)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %q is no descriptor: %w", envInherited, text, err)
+		}
+		c.Inherited = int(n)
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %w", err)
--- a/internal/loop/socket.go
+++ b/internal/loop/socket.go
@@ -78,3 +78,38 @@
 	}
 	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, unix.AF_INET6, nil
 }
+
+// Inherit takes a listening socket that the process was given at its start, as descriptor fd, and makes it
+// non-blocking and closed on exec. It must be a listening TCP socket over IPv4; anything else is an error
+// that names what it is.
+func Inherit(fd int) (address string, err error) {
+	if fd < 0 {
+		return "", fmt.Errorf("descriptor %d: not a descriptor", fd)
+	}
+	kind, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_TYPE)
+	if err != nil {
+		return "", fmt.Errorf("descriptor %d: not a socket: %w", fd, err)
+	}
+	listening, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN)
+	if err != nil {
+		return "", fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	sa, err := unix.Getsockname(fd)
+	if err != nil {
+		return "", fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	in4, ok := sa.(*unix.SockaddrInet4)
+	switch {
+	case kind != unix.SOCK_STREAM:
+		return "", fmt.Errorf("descriptor %d: a socket of type %d, not TCP", fd, kind)
+	case !ok:
+		return "", fmt.Errorf("descriptor %d: not an IPv4 socket", fd)
+	case listening != 1:
+		return "", fmt.Errorf("descriptor %d: a TCP socket that does not listen", fd)
+	}
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return "", fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	unix.CloseOnExec(fd)
+	return netip.AddrPortFrom(netip.AddrFrom4(in4.Addr), uint16(in4.Port)).String(), nil
+}
