The operators' door: readyz, leafs held out and sent back, clients sent away

Design, in three parts. internal/maint decides, with no I/O and no clock: held leafs (suspend, resume, a no for an id never listed, a repeated call answered the same and changing nothing, 1,024 held and 16,384 ids remembered at most), the file of held leafs (versioned, summed, torn or foreign is an error), and the phases of a drain (leaving, then closing from 650 ms on). internal/door is the listener on the loop's epoll: one call a connection, 64 callers, heads and bodies of 4 KiB, a no (408) to whatever has not come whole in 0.8 s. internal/upkeep carries calls out: a held leaf is given to the module as draining, whatever the list says (discovery.Nodes.HoldBy), kept by rename in $TMPDIR and looked for every 20 ms by the other process. Not taken: dropping a held leaf from the list, which would have the module forget what it learnt of it and take it for new when it comes back; and telling the other process by a socket, which the platform leaves to files here.

--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -4,6 +4,7 @@
 	"math"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 
@@ -15,24 +16,27 @@
 	"ternstage/internal/config"
 	"ternstage/internal/core"
 	"ternstage/internal/discovery"
+	"ternstage/internal/door"
 	"ternstage/internal/flight"
 	"ternstage/internal/leafs"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
 	"ternstage/internal/reload"
 	"ternstage/internal/slicemap"
+	"ternstage/internal/upkeep"
 )
 
 const (
-	memoryShare = 0.6    // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
-	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
-	leafShare   = 4      // one in so many of the others is for leafs
-	clientBytes = 6      // one in so many bytes of the memory is for what clients send and are sent
-	listenOn    = 650.0  // ms after SIGTERM in which new connections still come
-	killMost    = 3000.0 // ms: a longer deadline of a class does not put off SIGKILL, which comes no sooner than
-	killSpare   = 700.0  // so long after the longest deadline
-	answerSpare = 150.0  // ms before SIGKILL by which all is answered
-	exitBy      = 60_000 // ms after SIGTERM at the latest
+	memoryShare = 0.6                         // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
+	spareFiles  = 24                          // descriptors for the loop, discovery, the log and the runtime
+	leafShare   = 4                           // one in so many of the others is for leafs
+	clientBytes = 6                           // one in so many bytes of the memory is for what clients send and are sent
+	listenOn    = 650.0                       // ms after SIGTERM in which new connections still come
+	killMost    = 3000.0                      // ms: a longer deadline of a class does not put off SIGKILL, which comes no sooner than
+	killSpare   = 700.0                       // so long after the longest deadline
+	answerSpare = 150.0                       // ms before SIGKILL by which all is answered
+	exitBy      = 60_000                      // ms after SIGTERM at the latest
+	heldFile    = "ternstage-held-leafs.json" // in $TMPDIR, which the processes of an aggregator share
 )
 
 // serve runs the broker until it is told to end.
@@ -85,7 +89,6 @@
 	}
 	watch := discovery.NewWatcher(l, c, log, nodes, cfg.Discovery)
 	c.Attach(back, watch)
-	watch.Known(cfg.Known)
 	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
 		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes, Pages: x.pages(c, m),
 			Inherited: cfg.Inherited},
@@ -93,6 +96,19 @@
 	if err != nil {
 		return err
 	}
+	var ops *upkeep.Upkeep
+	if cfg.Mgmt != "" {
+		// Held leafs are read before the list, so that none of them is taken for serving at the start.
+		ops = upkeep.New(l, log, filepath.Join(os.TempDir(), heldFile), nodes, c, server)
+		nodes.HoldBy(ops.Bans())
+		d, err := door.Listen(l, ops, log, cfg.Mgmt)
+		if err != nil {
+			return err
+		}
+		defer d.Close()
+		ops.Start()
+	}
+	watch.Known(cfg.Known)
 	if m != nil {
 		var source slicemap.Source = catalog.NewSource(l, c, log, x.catalogue(cfg))
 		c.OnHint(source.Hint)
@@ -103,7 +119,7 @@
 	l.OnTurn(c.Turn)
 
 	stop := &stopper{loop: l, core: c, server: server, longest: min(cfg.Book.Longest(), killMost),
-		listenFor: listenOn}
+		listenFor: listenOn, ops: ops}
 	if cfg.Inherited > 0 {
 		stop.listenFor = 0 // who takes over accepts on the same socket, and what waits in it is left to them
 	}
@@ -160,7 +176,8 @@
 	loop    *loop.Loop
 	core    *core.Core
 	server  *clients.Server
-	front   *flight.Front // nil where Flight is off
+	front   *flight.Front  // nil where Flight is off
+	ops     *upkeep.Upkeep // nil where the operators have no door
 	timer   *loop.Timer
 	longest float64 // ms: the longest deadline, as it puts SIGKILL off
 	// ms after SIGTERM in which connections are still accepted
@@ -173,6 +190,9 @@
 	if s.began == 0 {
 		s.began = s.loop.Now()
 		s.server.Drain()
+		if s.ops != nil {
+			s.ops.Stop()
+		}
 		s.core.AnswerBy(s.began + s.longest + killSpare - answerSpare)
 		s.step()
 	}
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -35,7 +35,7 @@
 		r := response{status: 200, body: c.server.contracts()}
 		if m.path == pathHealth {
 			r = response{status: 200, body: []byte(`{"status":"serving"}`)}
-			if !c.server.ready() || c.server.draining {
+			if !c.server.Healthy() {
 				r = response{status: 503, body: []byte(`{"status":"not serving"}`)}
 			}
 		}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -51,8 +51,10 @@
 	conns    map[*conn]struct{}
 	timer    *loop.Timer // looks after slow clients
 	again    *loop.Timer // accepts again
-	draining bool        // health says no
-	ending   bool        // every answer is the last of its connection
+	draining bool        // health says no: the program ends
+	away     bool        // health says no: the operators have the clients sent away
+	ending   bool        // every answer is the last of its connection: the program ends
+	closing  bool        // so, while clients are sent away
 	onIdle   func()
 	pages    map[string]func() []byte
 }
@@ -195,6 +197,21 @@
 // Drain tells who asks that the program no longer serves; those who have connections are served on.
 func (s *Server) Drain() { s.draining = true }
 
+// SendAway has health say no, or yes again, while the program serves on: the front stops sending new
+// connections, and those that clients have are served.
+func (s *Server) SendAway(on bool) { s.away = on }
+
+// Healthy is what health says.
+func (s *Server) Healthy() bool { return s.ready() && !s.draining && !s.away }
+
+// CloseKept makes every answer from now on the last of its connection and closes idle connections, or ends
+// that; the listener stays.
+func (s *Server) CloseKept(on bool) {
+	if s.closing = on; on {
+		s.endIdle()
+	}
+}
+
 // StopListening takes what the kernel has accepted for us, closes the listener and idle connections, and
 // makes every answer from now on the last of its connection. A listener that the platform keeps is left with
 // what waits in it, for the process that takes over.
@@ -430,7 +447,7 @@
 func (c *conn) reply(r response) {
 	c.served++
 	c.since = c.server.loop.Now()
-	c.last = c.last || r.close || c.server.ending
+	c.last = c.last || r.close || c.server.ending || c.server.closing
 	r.close = c.last
 	c.s.Out = r.append(c.s.Out)
 }
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -63,12 +63,36 @@
 	byID    map[string]uint32
 	address map[uint32]string
 	listed  map[string]bool
+	entries map[string]balance.Entry // of members that are listed, as the list says them
+	hold    Holder
+}
+
+// Holder says which members the operators hold out of service, and hears of every member that is listed.
+type Holder interface {
+	Listed(id string)
+	Held(id string) bool
+}
+
+// HoldBy has members that h holds out given to the module as draining, whatever the list says.
+func (n *Nodes) HoldBy(h Holder) { n.hold = h }
+
+// Entry is the module's form of a listed member, with what holds applied; false for one that is not listed.
+func (n *Nodes) Entry(id string) (balance.Entry, bool) {
+	e, ok := n.entries[id]
+	return n.held(id, e), ok
+}
+
+func (n *Nodes) held(id string, e balance.Entry) balance.Entry {
+	if n.hold != nil && e.State == balance.Ready && n.hold.Held(id) {
+		e.State = balance.Draining
+	}
+	return e
 }
 
 // NewNodes makes an empty table; zones are the settings' names in order.
 func NewNodes(zones []string) *Nodes {
 	n := &Nodes{zones: map[string]int{}, byID: map[string]uint32{}, address: map[uint32]string{},
-		listed: map[string]bool{}}
+		listed: map[string]bool{}, entries: map[string]balance.Entry{}}
 	for i, z := range zones {
 		n.zones[z] = i
 	}
@@ -119,8 +143,12 @@
 		} else {
 			n.listed[m.ID] = true
 			n.address[e.Replica] = m.Address
+			n.entries[m.ID] = e
+			if n.hold != nil {
+				n.hold.Listed(m.ID)
+			}
 		}
-		es = append(es, e)
+		es = append(es, n.held(m.ID, e))
 	}
 	// Members that are gone are forgotten, as new ones come under new ids all day. One that comes back has its
 	// old number again, unless two ids clash.
@@ -128,6 +156,7 @@
 		if !n.listed[id] {
 			delete(n.byID, id)
 			delete(n.address, x)
+			delete(n.entries, id)
 		}
 	}
 	return es
--- /dev/null
+++ b/internal/door/door.go
@@ -0,0 +1,360 @@
+// Package door is the operators' door: a second listener on the loop, HTTP/1.1 with one call per
+// connection, whose answers say yes (2xx) or no (4xx, 5xx). What a call changes is decided elsewhere
+// (Calls); the door reads calls within bounds, answers each within a second whatever the caller does, and
+// closes.
+package door
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+	"ternstage/internal/maint"
+)
+
+// Calls carries out what operators ask. Each is called on the loop and must not wait.
+type Calls interface {
+	// Ready tells whether the process is ready to serve.
+	Ready() bool
+	Suspend(id string) maint.Verdict
+	Resume(id string) maint.Verdict
+	Drain() maint.Verdict
+	Activate() maint.Verdict
+}
+
+// Bounds of the door.
+const (
+	MaxConns = 64      // connections at once; at the bound the oldest that has not called is answered no
+	MaxHead  = 4 << 10 // bytes of a call's head
+	MaxBody  = 4 << 10 // bytes of a body, which no call needs and which is thrown away
+	AnswerBy = 800.0   // ms after the connect by which a call that has not come whole is answered no
+	LingerBy = 1000.0  // ms after the answer in which what a caller still sends is thrown away
+	tendStep = 50.0    // ms between looks at the connections
+	readSize = MaxHead + MaxBody
+)
+
+var (
+	errLate    = errors.New("the call did not come whole within 0.8 s")
+	errCrowded = errors.New("too many callers at once")
+	errHead    = fmt.Errorf("head over %d bytes", MaxHead)
+	errBody    = fmt.Errorf("body over %d bytes", MaxBody)
+	errCall    = errors.New("malformed call")
+)
+
+// Door listens for operators.
+type Door struct {
+	loop    *loop.Loop
+	calls   Calls
+	log     *logs.Log
+	fd      int
+	conns   map[*conn]struct{}
+	timer   *loop.Timer
+	Counts  Counts
+	address string
+}
+
+// Counts are what the door has seen since the start.
+type Counts struct {
+	Calls, Yes, No, Late, Crowded, Malformed uint64
+}
+
+// Listen opens the door on an address.
+func Listen(l *loop.Loop, calls Calls, log *logs.Log, address string) (*Door, error) {
+	fd, err := loop.Listen(address)
+	if err != nil {
+		return nil, fmt.Errorf("mgmt: %w", err)
+	}
+	d := &Door{loop: l, calls: calls, log: log, fd: fd, conns: map[*conn]struct{}{}, address: address}
+	d.timer = l.NewTimer(d.tend)
+	if err := l.Add(fd, unix.EPOLLIN, d); err != nil {
+		_ = unix.Close(fd)
+		return nil, fmt.Errorf("mgmt: %w", err)
+	}
+	return d, nil
+}
+
+// Ready implements loop.Handler: callers wait to be taken.
+func (d *Door) Ready(uint32) {
+	for range MaxConns {
+		fd, err := loop.Accept(d.fd)
+		if err != nil {
+			return // EAGAIN, or no descriptor: the caller waits in the kernel's queue and is taken later
+		}
+		if len(d.conns) >= MaxConns {
+			d.makeRoom()
+		}
+		c := &conn{door: d, since: d.loop.Now()}
+		s, err := loop.NewStream(d.loop, fd, unix.EPOLLIN|unix.EPOLLRDHUP, c)
+		if err != nil {
+			continue
+		}
+		c.s = s
+		d.conns[c] = struct{}{}
+		d.timer.Sooner(d.loop.Now() + tendStep)
+	}
+}
+
+// makeRoom closes a connection that has had its answer, or else answers no to the one that came first.
+func (d *Door) makeRoom() {
+	var o *conn
+	for c := range d.conns {
+		if c.answered {
+			c.close(logs.OperatorDone, nil)
+			return
+		}
+		if o == nil || c.since < o.since {
+			o = c
+		}
+	}
+	d.Counts.Crowded++
+	o.fail(503, errCrowded, logs.OperatorCrowded)
+	o.close(logs.OperatorCrowded, errCrowded)
+}
+
+// tend answers calls that take too long and closes what lingers.
+func (d *Door) tend() {
+	now := d.loop.Now()
+	for c := range d.conns {
+		switch {
+		case c.answered && now-c.answeredAt > LingerBy:
+			c.close(logs.OperatorDone, nil)
+		case !c.answered && now-c.since > AnswerBy:
+			d.Counts.Late++
+			c.fail(408, errLate, logs.OperatorLate)
+		}
+	}
+	if len(d.conns) > 0 {
+		d.timer.Set(now + tendStep)
+	}
+}
+
+// Close closes the door and every connection at it.
+func (d *Door) Close() {
+	for c := range d.conns {
+		c.close(logs.Shutdown, nil)
+	}
+	if d.fd >= 0 {
+		d.loop.Close(d.fd)
+		d.fd = -1
+	}
+}
+
+// route answers a call that has come whole.
+func (d *Door) route(method, path string) maint.Verdict {
+	const leafs = "/v1/leafs/"
+	put := func(do func() maint.Verdict) maint.Verdict {
+		if method != "PUT" {
+			return maint.Verdict{Status: 405, Reason: "PUT only"}
+		}
+		return do()
+	}
+	switch {
+	case path == "/v1/readyz":
+		if method != "GET" && method != "HEAD" {
+			return maint.Verdict{Status: 405, Reason: "GET only"}
+		}
+		if d.calls.Ready() {
+			return maint.Verdict{Status: 200, Reason: "ready"}
+		}
+		return maint.Verdict{Status: 503, Reason: "not ready"}
+	case path == "/v1/aggregator/drain":
+		return put(d.calls.Drain)
+	case path == "/v1/aggregator/activate":
+		return put(d.calls.Activate)
+	case strings.HasPrefix(path, leafs):
+		id, verb, ok := strings.Cut(path[len(leafs):], "/")
+		switch {
+		case ok && verb == "suspend":
+			return put(func() maint.Verdict { return d.calls.Suspend(id) })
+		case ok && verb == "resume":
+			return put(func() maint.Verdict { return d.calls.Resume(id) })
+		}
+	}
+	return maint.Verdict{Status: 404, Reason: "no such call: " + strconv.Quote(path)}
+}
+
+// conn is one caller.
+type conn struct {
+	door       *Door
+	s          *loop.Stream
+	since      float64
+	answered   bool
+	answeredAt float64
+	closed     bool
+	code       logs.Code // why it ends, where a no said so
+	err        error
+}
+
+// Ready implements loop.Handler.
+func (c *conn) Ready(events uint32) {
+	if c.answered {
+		c.discard()
+		return
+	}
+	eof, err := c.s.Read(readSize + 1)
+	if err != nil {
+		c.close(logs.OperatorGone, err)
+		return
+	}
+	method, path, size, err := head(c.s.In)
+	switch {
+	case err != nil:
+		c.door.Counts.Malformed++
+		c.fail(statusOf(err), err, logs.OperatorMalformed)
+	case size > 0 && len(c.s.In) >= size:
+		c.answer(method, path, c.door.route(method, path))
+	case eof:
+		c.close(logs.OperatorGone, nil)
+	}
+}
+
+// answer writes the verdict and ends our side.
+func (c *conn) answer(method, path string, v maint.Verdict) {
+	d := c.door
+	d.Counts.Calls++
+	if v.Yes() {
+		d.Counts.Yes++
+	} else {
+		d.Counts.No++
+	}
+	if path != "/v1/readyz" || !v.Yes() {
+		d.log.Info("operator call", zap.String("method", method), zap.String("path", path),
+			zap.Int("status", v.Status), zap.String("reason", v.Reason), zap.Bool("changed", v.Changed))
+	}
+	c.reply(v.Status, v.Reason)
+}
+
+// fail answers no to what cannot be a call.
+func (c *conn) fail(status int, err error, code logs.Code) {
+	c.code, c.err = code, err
+	c.reply(status, err.Error())
+}
+
+func (c *conn) reply(status int, reason string) {
+	body := fmt.Sprintf("{\"ok\":%t,\"reason\":%s}\n", status >= 200 && status < 300, strconv.Quote(reason))
+	c.s.Out = fmt.Appendf(c.s.Out[:0], "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"+
+		"Content-Length: %d\r\nConnection: close\r\n\r\n%s", status, statusText(status), len(body), body)
+	c.answered, c.answeredAt, c.s.In = true, c.door.loop.Now(), nil
+	if err := c.s.Flush(); err != nil || len(c.s.Out) > 0 {
+		// An answer of a few hundred bytes that the kernel does not take at once goes to a caller that
+		// does not read: it is not waited for.
+		c.close(logs.OperatorGone, err)
+		return
+	}
+	_ = unix.Shutdown(c.s.FD, unix.SHUT_WR)
+	c.s.Want(unix.EPOLLIN | unix.EPOLLRDHUP)
+	c.discard()
+}
+
+// discard throws away what the caller still sends, so that our close does not become a reset that takes
+// the answer with it; the caller's close ends the connection.
+func (c *conn) discard() {
+	for range 4 {
+		n, err := c.s.Discard()
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			return
+		case err != nil || n == 0:
+			c.close(logs.OperatorDone, nil)
+			return
+		}
+	}
+}
+
+func (c *conn) close(code logs.Code, err error) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	delete(c.door.conns, c)
+	c.s.Close()
+	if c.code != "" {
+		code, err = c.code, c.err
+	}
+	c.door.log.Conn(code, "mgmt", 1, err)
+}
+
+// head reads the head of a call: size is that of the head and body together, 0 while they have not come.
+func head(in []byte) (method, path string, size int, err error) {
+	end := bytes.Index(in, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(in) > MaxHead {
+			return "", "", 0, errHead
+		}
+		return "", "", 0, nil
+	}
+	if end > MaxHead {
+		return "", "", 0, errHead
+	}
+	line, fields, _ := strings.Cut(string(in[:end]), "\r\n")
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 || parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" || !strings.HasPrefix(parts[1], "/") {
+		return "", "", 0, fmt.Errorf("%w: request line %q", errCall, line)
+	}
+	method, path = parts[0], parts[1]
+	path, _, _ = strings.Cut(path, "?")
+	body := 0
+	for _, f := range strings.Split(fields, "\r\n") {
+		name, value, ok := strings.Cut(f, ":")
+		if !ok {
+			return "", "", 0, fmt.Errorf("%w: field %q", errCall, f)
+		}
+		switch strings.ToLower(strings.TrimSpace(name)) {
+		case "content-length":
+			n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 31)
+			if err != nil {
+				return "", "", 0, fmt.Errorf("%w: Content-Length %q", errCall, strings.TrimSpace(value))
+			}
+			if n > MaxBody {
+				return "", "", 0, errBody
+			}
+			body = int(n)
+		case "transfer-encoding":
+			return "", "", 0, fmt.Errorf("%w: a body in chunks, which no call has", errCall)
+		}
+	}
+	return method, path, end + 4 + body, nil
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, errHead):
+		return 431
+	case errors.Is(err, errBody):
+		return 413
+	}
+	return 400
+}
+
+func statusText(status int) string {
+	switch status {
+	case 200:
+		return "OK"
+	case 400:
+		return "Bad Request"
+	case 404:
+		return "Not Found"
+	case 405:
+		return "Method Not Allowed"
+	case 408:
+		return "Request Timeout"
+	case 413:
+		return "Content Too Large"
+	case 431:
+		return "Request Header Fields Too Large"
+	case 500:
+		return "Internal Server Error"
+	case 503:
+		return "Service Unavailable"
+	case 507:
+		return "Insufficient Storage"
+	}
+	return "Status"
+}
--- /dev/null
+++ b/internal/maint/drain.go
@@ -0,0 +1,80 @@
+package maint
+
+// Phase is where the aggregator stands in sending its clients away.
+type Phase uint8
+
+// The phases, in the order they come.
+const (
+	// Serving: health says yes.
+	Serving Phase = iota
+	// Leaving: health says no; the front still sends new connections for a while, and they are served.
+	Leaving
+	// Closing: every answer is the last of its connection, and idle connections are closed, so that by
+	// EmptyBy none is held idle and none carries a fresh request.
+	Closing
+)
+
+func (p Phase) String() string { return [...]string{"serving", "leaving", "closing"}[p] }
+
+// Times of a drain, in ms after the call.
+const (
+	// CloseAfter is when connections begin to be closed: the front sends new ones for 0.2 s after the first
+	// no of health, which it asks every 0.1 s; what is left is slack for its clock and ours.
+	CloseAfter = 650.0
+	// EmptyBy is when no connection of a client may be left idle, nor carry a request of the last 2 s.
+	EmptyBy = 4000.0
+)
+
+// Drain is the state of sending clients away, from the call to drain to the call to activate.
+type Drain struct {
+	on    bool
+	since float64 // ms, of the drain that holds
+}
+
+// Drain begins sending clients away, at now (ms). A repeated call changes nothing.
+func (d *Drain) Drain(now float64) Verdict {
+	if d.on {
+		return yesAgain
+	}
+	d.on, d.since = true, now
+	return Verdict{Status: yes.Status, Reason: yes.Reason, Changed: true}
+}
+
+// Activate takes clients again. A repeated call changes nothing.
+func (d *Drain) Activate() Verdict {
+	if !d.on {
+		return yesAgain
+	}
+	d.on = false
+	return Verdict{Status: yes.Status, Reason: yes.Reason, Changed: true}
+}
+
+// Phase is the phase at now (ms).
+func (d *Drain) Phase(now float64) Phase {
+	switch {
+	case !d.on:
+		return Serving
+	case now-d.since < CloseAfter:
+		return Leaving
+	}
+	return Closing
+}
+
+// Next is when the phase changes by itself, in ms; +Inf-like 0 when it does not.
+func (d *Drain) Next(now float64) (at float64, ok bool) {
+	if d.on && now-d.since < CloseAfter {
+		return d.since + CloseAfter, true
+	}
+	return 0, false
+}
+
+// Healthy tells whether health says yes, ready being whether the process could serve at all.
+func (d *Drain) Healthy(ready bool) bool { return ready && !d.on }
+
+// Since is when the drain that holds began, in ms; 0 when none holds.
+func (d *Drain) Since() float64 {
+	if !d.on {
+		return 0
+	}
+	return d.since
+}
--- /dev/null
+++ b/internal/maint/file.go
@@ -0,0 +1,66 @@
+package maint
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"strings"
+)
+
+// FileVersion is the form of the file of held leafs that this build writes and reads.
+const FileVersion = 1
+
+// MaxFile is the largest file of held leafs that is read, in bytes.
+const MaxFile = MaxHeld*(MaxID+4) + 256
+
+type file struct {
+	Form    string   `json:"form"`
+	Version int      `json:"version"`
+	Held    []string `json:"held"`
+	Sum     uint32   `json:"sum"` // CRC-32 (IEEE) of the ids, each followed by a newline
+}
+
+const form = "ternstage held leafs"
+
+// Encode writes the ids of the leafs held out as a file.
+func Encode(ids []string) []byte {
+	text, _ := json.Marshal(file{Form: form, Version: FileVersion, Held: ids, Sum: sum(ids)})
+	return append(text, '\n')
+}
+
+// Decode reads a file of held leafs. A file that is torn, of another form or version, too large or whose
+// sum does not agree is an error that wraps ErrFile and says which.
+func Decode(text []byte) ([]string, error) {
+	if len(text) > MaxFile {
+		return nil, fmt.Errorf("%w: %d bytes, over %d", ErrFile, len(text), MaxFile)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, fmt.Errorf("%w: torn or not JSON: %w", ErrFile, err)
+	}
+	switch {
+	case f.Form != form:
+		return nil, fmt.Errorf("%w: form %q, not %q", ErrFile, f.Form, form)
+	case f.Version != FileVersion:
+		return nil, fmt.Errorf("%w: version %d, this build reads %d", ErrFile, f.Version, FileVersion)
+	case f.Sum != sum(f.Held):
+		return nil, fmt.Errorf("%w: field sum: %d, the ids sum to %d", ErrFile, f.Sum, sum(f.Held))
+	case len(f.Held) > MaxHeld:
+		return nil, fmt.Errorf("%w: field held: %d ids, over %d", ErrFile, len(f.Held), MaxHeld)
+	}
+	for i, id := range f.Held {
+		if !ValidID(id) {
+			return nil, fmt.Errorf("%w: field held[%d]: %q is no leaf id", ErrFile, i, id)
+		}
+	}
+	return f.Held, nil
+}
+
+func sum(ids []string) uint32 {
+	var b strings.Builder
+	for _, id := range ids {
+		b.WriteString(id)
+		b.WriteByte('\n')
+	}
+	return crc32.ChecksumIEEE([]byte(b.String()))
+}
--- /dev/null
+++ b/internal/upkeep/upkeep.go
@@ -0,0 +1,222 @@
+// Package upkeep carries out the operators' calls on the loop: it asks maint what a call changes, keeps the
+// held leafs in a file that every process of the aggregator shares, has the module hear of what is held
+// as it hears of the list, and has the front send clients away. It implements door.Calls.
+package upkeep
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"ternstage/balance"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+	"ternstage/internal/maint"
+)
+
+// Look is how often the file is looked at for what another process of the aggregator wrote, in ms: well
+// inside the 50 ms of slack that a drain's second has, so that a ban said yes to by one process holds at
+// the other in time.
+const Look = 20.0
+
+// List is the module as it hears of the list.
+type List interface {
+	ListChanged(kind balance.ListKind, entries []balance.Entry)
+}
+
+// Members gives the module's form of a listed leaf, with what holds applied.
+type Members interface {
+	Entry(id string) (balance.Entry, bool)
+}
+
+// Front is the clients' front as sending them away needs it.
+type Front interface {
+	Healthy() bool
+	SendAway(on bool)
+	CloseKept(on bool)
+}
+
+// Upkeep carries out the operators' calls.
+type Upkeep struct {
+	loop     *loop.Loop
+	log      *logs.Log
+	bans     *maint.Bans
+	drain    maint.Drain
+	phase    maint.Phase
+	list     List
+	members  Members
+	front    Front
+	path     string
+	stamp    stamp // of the file as last read or written
+	bad      stamp // of a file that could not be used, logged once
+	timer    *loop.Timer
+	stopping bool
+}
+
+// stamp tells one content of a file from another without reading it.
+type stamp struct {
+	ino, size int64
+	mtime     int64 // ns
+}
+
+// New makes the upkeep and reads the file of held leafs at path, if there is one. A file that cannot be
+// used is logged and taken for none: it does not stop a start.
+func New(l *loop.Loop, log *logs.Log, path string, members Members, list List, front Front) *Upkeep {
+	u := &Upkeep{loop: l, log: log, bans: maint.NewBans(), list: list, members: members, front: front,
+		path: path}
+	u.timer = l.NewTimer(u.tick)
+	u.look()
+	return u
+}
+
+// Bans are the held leafs, for the list to ask.
+func (u *Upkeep) Bans() *maint.Bans { return u.bans }
+
+// Start begins to look at the file and at the phase of a drain.
+func (u *Upkeep) Start() { u.timer.Set(u.loop.Now() + Look) }
+
+// Stop tells that the program ends: it is no longer ready.
+func (u *Upkeep) Stop() { u.stopping = true }
+
+// Ready implements door.Calls.
+func (u *Upkeep) Ready() bool { return !u.stopping && u.front.Healthy() }
+
+// Suspend implements door.Calls.
+func (u *Upkeep) Suspend(id string) maint.Verdict { return u.change(id, u.bans.Suspend) }
+
+// Resume implements door.Calls.
+func (u *Upkeep) Resume(id string) maint.Verdict { return u.change(id, u.bans.Resume) }
+
+func (u *Upkeep) change(id string, do func(string) maint.Verdict) maint.Verdict {
+	u.look() // what another process wrote comes first
+	v := do(id)
+	if !v.Changed {
+		return v
+	}
+	u.tell(id)
+	if err := u.write(); err != nil {
+		// It holds in this process, but would not hold in the next: a no, so that the call is made again.
+		u.log.Warn("held leafs not kept", zap.String("file", u.path), zap.Error(err))
+		return maint.Verdict{Status: 500, Reason: "so here, but not kept for the next process: " + err.Error(),
+			Changed: true}
+	}
+	return v
+}
+
+// Drain implements door.Calls.
+func (u *Upkeep) Drain() maint.Verdict {
+	v := u.drain.Drain(u.loop.Now())
+	u.follow()
+	return v
+}
+
+// Activate implements door.Calls.
+func (u *Upkeep) Activate() maint.Verdict {
+	v := u.drain.Activate()
+	u.follow()
+	return v
+}
+
+// follow has the front do what the phase of a drain asks.
+func (u *Upkeep) follow() {
+	p := u.drain.Phase(u.loop.Now())
+	if p == u.phase {
+		return
+	}
+	u.log.Info("clients", zap.Stringer("from", u.phase), zap.Stringer("to", p))
+	u.front.SendAway(p != maint.Serving)
+	u.front.CloseKept(p == maint.Closing)
+	u.phase = p
+}
+
+func (u *Upkeep) tick() {
+	u.look()
+	u.follow()
+	u.timer.Set(u.loop.Now() + Look)
+}
+
+// tell has the module hear of a leaf that is held or freed, as the list would tell it.
+func (u *Upkeep) tell(ids ...string) {
+	es := make([]balance.Entry, 0, len(ids))
+	for _, id := range ids {
+		if e, ok := u.members.Entry(id); ok {
+			es = append(es, e)
+		}
+	}
+	if len(es) > 0 {
+		u.list.ListChanged(balance.ListDelta, es)
+	}
+}
+
+// look reads the file again if it has changed since it was last read or written.
+func (u *Upkeep) look() {
+	fi, err := os.Stat(u.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return // nothing was ever held, or what was is kept here
+	}
+	if err != nil {
+		u.refuse(stamp{}, err)
+		return
+	}
+	st := stampOf(fi)
+	if st == u.stamp || st == u.bad {
+		return
+	}
+	text, err := os.ReadFile(u.path)
+	if err == nil && len(text) != int(st.size) {
+		err = fmt.Errorf("%w: changed while read", maint.ErrFile)
+	}
+	var ids []string
+	if err == nil {
+		ids, err = maint.Decode(text)
+	}
+	if err != nil {
+		u.refuse(st, err)
+		return
+	}
+	u.stamp = st
+	added, freed := u.bans.Take(ids)
+	if len(added)+len(freed) > 0 {
+		u.log.Info("held leafs read", zap.String("file", u.path), zap.Strings("held", added),
+			zap.Strings("freed", freed))
+		u.tell(append(added, freed...)...)
+	}
+}
+
+func (u *Upkeep) refuse(st stamp, err error) {
+	if st != u.bad || st == (stamp{}) {
+		u.log.Warn("held leafs not read: those held stay as they were", zap.String("file", u.path),
+			zap.Error(err))
+	}
+	u.bad = st
+}
+
+// write keeps the held leafs: a new file under another name takes the old one's place in one rename, so
+// that a reader sees the old or the new and never half of one.
+func (u *Upkeep) write() error {
+	next := fmt.Sprintf("%s.%d.new", u.path, os.Getpid())
+	if err := os.WriteFile(next, maint.Encode(u.bans.IDs()), 0o600); err != nil {
+		_ = os.Remove(next)
+		return fmt.Errorf("write %s: %w", next, err)
+	}
+	if err := os.Rename(next, u.path); err != nil {
+		_ = os.Remove(next)
+		return fmt.Errorf("rename to %s: %w", u.path, err)
+	}
+	if fi, err := os.Stat(u.path); err == nil {
+		u.stamp = stampOf(fi)
+	}
+	return nil
+}
+
+func stampOf(fi fs.FileInfo) stamp {
+	st := stamp{size: fi.Size(), mtime: fi.ModTime().UnixNano()}
+	if sys, ok := fi.Sys().(*syscall.Stat_t); ok {
+		st.ino = int64(sys.Ino)
+	}
+	return st
+}
