--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -27,18 +27,20 @@
 )
 
 const (
-	memoryShare = 0.6                         // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
-	spareFiles  = 24                          // descriptors for the loop, discovery, the log and the runtime
-	leafShare   = 4                           // one in so many of the others is for leafs
-	clientBytes = 6                           // one in so many bytes of the memory is for what clients send and are sent
-	listenOn    = 650.0                       // ms after SIGTERM in which new connections still come
-	killMost    = 3000.0                      // ms: a longer deadline of a class does not put off SIGKILL, which comes no sooner than
-	killSpare   = 700.0                       // so long after the longest deadline
-	answerSpare = 150.0                       // ms before SIGKILL by which all is answered
-	exitBy      = 60_000                      // ms after SIGTERM at the latest
-	heldFile    = "ternstage-held-leafs.json" // in $TMPDIR, which the processes of an aggregator share
+	memoryShare = 0.6    // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
+	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
+	leafShare   = 4      // one in so many of the others is for leafs
+	clientBytes = 6      // one in so many bytes of the memory is for what clients send and are sent
+	listenOn    = 650.0  // ms after SIGTERM in which new connections still come
+	killMost    = 3000.0 // ms: a longer deadline of a class does not put off SIGKILL, which comes no sooner than
+	killSpare   = 700.0  // so long after the longest deadline
+	answerSpare = 150.0  // ms before SIGKILL by which all is answered
+	exitBy      = 60_000 // ms after SIGTERM at the latest
 )
 
+// heldFile keeps the leafs that operators hold out, in $TMPDIR, which the processes of an aggregator share.
+const heldFile = "ternstage-held-leafs.json"
+
 // serve runs the broker until it is told to end.
 func serve(operatorFile string) error {
 	// Before anything else: guards against a signal whose default action would end the program while it starts.
--- a/internal/maint/maint.go
+++ b/internal/maint/maint.go
@@ -39,7 +39,8 @@
 	yesAgain  = Verdict{Status: 200, Reason: "so already"}
 	notListed = Verdict{Status: 404, Reason: "no leaf of that id was ever listed"}
 	full      = Verdict{Status: 507, Reason: fmt.Sprintf("%d leafs are held out already", MaxHeld)}
-	badID     = Verdict{Status: 400, Reason: "a leaf id is 1 to 256 bytes of letters, digits, '-', '_', '.' and ':'"}
+	badID     = Verdict{Status: 400,
+		Reason: "a leaf id is 1 to 256 bytes of letters, digits, '-', '_', '.' and ':'"}
 )
 
 // Bans are the leafs held out of service, and the ids that were ever listed.
