Tests of the door, held leafs, clients sent away and an upgrade of two processes

A door stopped with SIGSTOP is seen to be late.

Change beside them: on SIGTERM with a kept listener, and in a drain, every answer says it is the last, and idle connections are closed only later (1 s, 1.5 s), so that a client that uses one again is told by its answer, not by a close under its request.

--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -38,6 +38,11 @@
 	exitBy      = 60_000 // ms after SIGTERM at the latest
 )
 
+// keptIdle is when, in ms after SIGTERM, connections that have stayed idle are closed where another process
+// takes over the listener: until then, each that is used again is ended by its answer, and no client finds
+// one closed under its request.
+const keptIdle = 1000.0
+
 // heldFile keeps the leafs that operators hold out, in $TMPDIR, which the processes of an aggregator share.
 const heldFile = "ternstage-held-leafs.json"
 
@@ -123,7 +128,8 @@
 	stop := &stopper{loop: l, core: c, server: server, longest: min(cfg.Book.Longest(), killMost),
 		listenFor: listenOn, ops: ops}
 	if cfg.Inherited > 0 {
-		stop.listenFor = 0 // who takes over accepts on the same socket, and what waits in it is left to them
+		// Who takes over accepts on the same socket, and what waits in it is left to them.
+		stop.listenFor, stop.kept = 0, true
 	}
 	if fc.Enabled {
 		if stop.front, err = flight.Listen(fc, l, c, cfg.Book, log); err != nil {
@@ -184,6 +190,7 @@
 	longest float64 // ms: the longest deadline, as it puts SIGKILL off
 	// ms after SIGTERM in which connections are still accepted
 	listenFor float64
+	kept      bool // the listener is the platform's: connections are left to end by the answers that say so
 	began     float64
 	ending    bool // the Flight front is
 }
@@ -203,9 +210,11 @@
 func (s *stopper) step() {
 	const every = 10.0
 	past := s.loop.Now() - s.began
-	if past >= max(s.longest, s.listenFor) || past >= s.listenFor && s.server.Open() == 0 ||
-		s.listenFor == 0 {
+	if past >= max(s.longest, s.listenFor) || past >= s.listenFor && (s.server.Open() == 0 || s.kept) {
 		s.server.StopListening()
+		if !s.kept || past >= keptIdle {
+			s.server.EndIdle()
+		}
 		if s.front != nil && !s.ending {
 			s.ending = true
 			s.front.Stop(func() { s.front = nil })
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -204,17 +204,12 @@
 // Healthy is what health says.
 func (s *Server) Healthy() bool { return s.ready() && !s.draining && !s.away }
 
-// CloseKept makes every answer from now on the last of its connection and closes idle connections, or ends
-// that; the listener stays.
-func (s *Server) CloseKept(on bool) {
-	if s.closing = on; on {
-		s.endIdle()
-	}
-}
+// CloseKept makes every answer from now on the last of its connection, or ends that; the listener stays.
+func (s *Server) CloseKept(on bool) { s.closing = on }
 
-// StopListening takes what the kernel has accepted for us, closes the listener and idle connections, and
-// makes every answer from now on the last of its connection. A listener that the platform keeps is left with
-// what waits in it, for the process that takes over.
+// StopListening takes what the kernel has accepted for us, closes the listener, and makes every answer from
+// now on the last of its connection. A listener that the platform keeps is left with what waits in it, for
+// the process that takes over.
 func (s *Server) StopListening() {
 	if s.fd < 0 {
 		return
@@ -225,11 +220,12 @@
 	s.loop.Close(s.fd)
 	s.fd, s.ending = -1, true
 	s.again.Stop()
-	s.endIdle()
 }
 
-// endIdle closes connections between requests, after a last look at what has come on them.
-func (s *Server) endIdle() {
+// EndIdle closes connections between requests, after a last look at what has come on them. A client that
+// writes to one at that moment finds it closed: a connection that is used again is ended by the answer
+// that says so, and only one that stays idle needs this.
+func (s *Server) EndIdle() {
 	for c := range s.conns {
 		if c.quiet() {
 			c.Ready(unix.EPOLLIN)
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 
@@ -90,7 +91,7 @@
 		if len(d.conns) >= MaxConns {
 			d.makeRoom()
 		}
-		c := &conn{door: d, since: d.loop.Now()}
+		c := &conn{door: d, since: d.loop.Now(), peer: peerOf(fd)}
 		s, err := loop.NewStream(d.loop, fd, unix.EPOLLIN|unix.EPOLLRDHUP, c)
 		if err != nil {
 			continue
@@ -190,6 +191,7 @@
 	closed     bool
 	code       logs.Code // why it ends, where a no said so
 	err        error
+	peer       string
 }
 
 // Ready implements loop.Handler.
@@ -278,7 +280,7 @@
 	if c.code != "" {
 		code, err = c.code, c.err
 	}
-	c.door.log.Conn(code, "mgmt", 1, err)
+	c.door.log.Conn(code, c.peer, 1, err)
 }
 
 // head reads the head of a call: size is that of the head and body together, 0 while they have not come.
@@ -358,3 +360,11 @@
 	}
 	return "Status"
 }
+
+func peerOf(fd int) string {
+	sa, err := unix.Getpeername(fd)
+	if a, ok := sa.(*unix.SockaddrInet4); ok && err == nil {
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)).String()
+	}
+	return ""
+}
--- a/internal/maint/drain.go
+++ b/internal/maint/drain.go
@@ -9,18 +9,24 @@
 	Serving Phase = iota
 	// Leaving: health says no; the front still sends new connections for a while, and they are served.
 	Leaving
-	// Closing: every answer is the last of its connection, and idle connections are closed, so that by
-	// EmptyBy none is held idle and none carries a fresh request.
+	// Closing: every answer is the last of its connection, so that a client that uses a kept connection
+	// again learns from the answer that it ends, and none finds one closed under its request.
 	Closing
+	// Emptying: connections that stayed idle are closed as well, so that by EmptyBy none is held idle and
+	// none carries a fresh request.
+	Emptying
 )
 
-func (p Phase) String() string { return [...]string{"serving", "leaving", "closing"}[p] }
+func (p Phase) String() string { return [...]string{"serving", "leaving", "closing", "emptying"}[p] }
 
 // Times of a drain, in ms after the call.
 const (
 	// CloseAfter is when connections begin to be closed: the front sends new ones for 0.2 s after the first
 	// no of health, which it asks every 0.1 s; what is left is slack for its clock and ours.
 	CloseAfter = 650.0
+	// EmptyAfter is when connections that stayed idle are closed: kept connections that clients use are
+	// ended by their answers before that.
+	EmptyAfter = 1500.0
 	// EmptyBy is when no connection of a client may be left idle, nor carry a request of the last 2 s.
 	EmptyBy = 4000.0
 )
@@ -56,16 +62,10 @@
 		return Serving
 	case now-d.since < CloseAfter:
 		return Leaving
+	case now-d.since < EmptyAfter:
+		return Closing
 	}
-	return Closing
-}
-
-// Next is when the phase changes by itself, in ms; +Inf-like 0 when it does not.
-func (d *Drain) Next(now float64) (at float64, ok bool) {
-	if d.on && now-d.since < CloseAfter {
-		return d.since + CloseAfter, true
-	}
-	return 0, false
+	return Emptying
 }
 
 // Healthy tells whether health says yes, ready being whether the process could serve at all.
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -38,6 +38,7 @@
 	Healthy() bool
 	SendAway(on bool)
 	CloseKept(on bool)
+	EndIdle()
 }
 
 // Upkeep carries out the operators' calls.
@@ -124,12 +125,15 @@
 // follow has the front do what the phase of a drain asks.
 func (u *Upkeep) follow() {
 	p := u.drain.Phase(u.loop.Now())
+	if p == maint.Emptying {
+		u.front.EndIdle() // again at each look: one that a late client opened is not left idle either
+	}
 	if p == u.phase {
 		return
 	}
 	u.log.Info("clients", zap.Stringer("from", u.phase), zap.Stringer("to", p))
 	u.front.SendAway(p != maint.Serving)
-	u.front.CloseKept(p == maint.Closing)
+	u.front.CloseKept(p >= maint.Closing)
 	u.phase = p
 }
 
--- /dev/null
+++ b/internal/upkeep/upkeep_test.go
@@ -0,0 +1,131 @@
+package upkeep
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ternstage/balance"
+	"ternstage/internal/logs"
+	"ternstage/internal/loop"
+	"ternstage/internal/maint"
+)
+
+// process is one process of an aggregator as the upkeep sees it.
+type process struct {
+	*Upkeep
+	heard []balance.Entry // what the module was told
+	away  bool
+	kept  bool
+	idle  int
+	log   string
+}
+
+func (p *process) ListChanged(_ balance.ListKind, es []balance.Entry) {
+	p.heard = append(p.heard, es...)
+}
+func (p *process) Healthy() bool     { return !p.away }
+func (p *process) SendAway(on bool)  { p.away = on }
+func (p *process) CloseKept(on bool) { p.kept = on }
+func (p *process) EndIdle()          { p.idle++ }
+
+// Entry gives every id a listed leaf, numbered by its first byte, with what holds applied.
+func (p *process) Entry(id string) (balance.Entry, bool) {
+	e := balance.Entry{Replica: uint32(id[len(id)-1]), State: balance.Ready}
+	if p.Upkeep != nil && p.bans.Held(id) {
+		e.State = balance.Draining
+	}
+	return e, true
+}
+
+func start(t *testing.T, path string) *process {
+	l, err := loop.New()
+	require.NoError(t, err)
+	p := &process{log: filepath.Join(t.TempDir(), "log")}
+	f, err := os.Create(p.log)
+	require.NoError(t, err)
+	log := logs.New(f, "n0")
+	t.Cleanup(func() { log.Close(); _ = f.Close() })
+	p.Upkeep = New(l, log, path, p, p, p)
+	return p
+}
+
+func (p *process) logged(t *testing.T) string {
+	p.Upkeep.log.Close()
+	text, err := os.ReadFile(p.log)
+	require.NoError(t, err)
+	return string(text)
+}
+
+// TestShared: what one process holds out, the other holds out at its next look, and a process that starts
+// later holds it from the start; one resume ends it everywhere.
+func TestShared(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "held.json")
+	a, b := start(t, path), start(t, path)
+	a.Bans().Listed("s-1")
+	require.Equal(t, 200, a.Suspend("s-1").Status)
+	require.Equal(t, []balance.Entry{{Replica: '1', State: balance.Draining}}, a.heard, "the module hears at once")
+
+	b.look()
+	assert.True(t, b.Bans().Held("s-1"), "the other process holds it after a look")
+	assert.Equal(t, balance.Draining, b.heard[0].State)
+	c := start(t, path)
+	assert.True(t, c.Bans().Held("s-1"), "a process that starts reads it")
+
+	require.Equal(t, 200, b.Resume("s-1").Status, "a resume at either process ends it")
+	a.look()
+	assert.False(t, a.Bans().Held("s-1"))
+	assert.Equal(t, balance.Ready, a.heard[len(a.heard)-1].State, "the module hears that it serves again")
+	b.heard = nil
+	b.look()
+	assert.Empty(t, b.heard, "a file that it wrote itself is no news")
+}
+
+// TestUnusableFile: a torn or foreign file is logged and leaves what is held as it was; a file that cannot be
+// written is a no, while the leaf is held out in this process.
+func TestUnusableFile(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "held.json")
+	a := start(t, path)
+	a.Bans().Listed("s-1")
+	require.True(t, a.Suspend("s-1").Yes())
+	require.NoError(t, os.WriteFile(path, []byte(`{"form":"ternstage held leafs","vers`), 0o600))
+	a.look()
+	a.look()
+	assert.True(t, a.Bans().Held("s-1"), "a torn file frees nothing")
+	require.NoError(t, os.WriteFile(path, maint.Encode(nil)[:5], 0o600))
+	b := start(t, path)
+	assert.Empty(t, b.Bans().IDs(), "a start with a torn file holds nothing and goes on")
+	assert.Contains(t, b.logged(t), "torn or not JSON")
+
+	gone := start(t, filepath.Join(dir, "no such folder", "held.json"))
+	gone.Bans().Listed("s-2")
+	v := gone.Suspend("s-2")
+	assert.Equal(t, 500, v.Status, "not kept for the next process is a no")
+	assert.True(t, gone.Bans().Held("s-2"), "but it holds here")
+}
+
+// TestPhases: the front is told each phase of a drain once, and idle connections are closed at every look of
+// the last one.
+func TestPhases(t *testing.T) {
+	p := start(t, filepath.Join(t.TempDir(), "held.json"))
+	require.True(t, p.Ready())
+	require.True(t, p.Drain().Changed)
+	assert.True(t, p.away)
+	assert.False(t, p.Ready())
+	p.drain = maint.Drain{}
+	p.drain.Drain(p.loop.Now() - maint.EmptyAfter) // as if it had begun that long ago
+	p.follow()
+	p.follow()
+	assert.True(t, p.kept)
+	assert.Equal(t, 2, p.idle)
+	require.True(t, p.Activate().Changed)
+	assert.False(t, p.away)
+	assert.False(t, p.kept)
+	assert.True(t, p.Ready())
+	p.Stop()
+	assert.False(t, p.Ready(), "a process that ends is not ready")
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -162,6 +163,7 @@
 	*exec.Cmd
 	t          *testing.T
 	addr, grpc string
+	mgmt       string // the operators' door, "" for none
 	config     string // its file
 	discovery  *discovery
 	mu         sync.Mutex
@@ -188,6 +190,10 @@
 	flight   bool
 	sockets  int
 	memory   int
+	mgmt     bool     // with the operators' door
+	tmp      string   // its $TMPDIR, where held leafs are kept; a new one if ""
+	inherit  *os.File // a listener for clients, given as descriptor 5
+	listen   string   // its address
 }
 
 // ownAddress is a loopback address of its own with any free port: no connection that goes out from 127.0.0.1 in
@@ -208,9 +214,21 @@
 
 // launch starts the program without waiting for it to serve.
 func launch(t *testing.T, config []byte, env ...string) *program {
+	return launchWith(t, config, nil, env...)
+}
+
+// launchWith starts the program with a listener as descriptor 5, where one is given.
+func launchWith(t *testing.T, config []byte, inherit *os.File, env ...string) *program {
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, config, 0o600))
 	p := &program{Cmd: exec.Command(built), t: t, config: path, done: make(chan error, 1)}
+	if inherit != nil {
+		null, err := os.Open(os.DevNull)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = null.Close() })
+		p.ExtraFiles = []*os.File{null, null, inherit} // descriptors 3, 4 and 5
+		env = append(env, "BALANCER_INHERITED_FD=5")
+	}
 	// The race detector would sleep for a second at the end.
 	p.Env = append(append(os.Environ(), "GORACE=atexit_sleep_ms=0", "BALANCER_CONFIG="+path), env...)
 	p.Stderr = p
@@ -227,6 +245,9 @@
 	}
 	d := newDiscovery(t, o.members)
 	addr, grpc := freeAddress(t), freeAddress(t)
+	if o.listen != "" {
+		addr = o.listen
+	}
 	limits := map[string]any{"cores": 1, "memory_mb": max(o.memory, 192), "sockets": 1024}
 	if o.sockets > 0 {
 		limits["sockets"] = o.sockets
@@ -237,9 +258,20 @@
 	file := filepath.Join(t.TempDir(), "flight.toml")
 	require.NoError(t, os.WriteFile(file, fmt.Appendf(nil, "enabled = %v\nnodes = %v\nlisten = %q\n",
 		o.flight, o.flight, grpc), 0o600))
-	p := launch(t, text, "TERNSTAGE_FLIGHT="+file)
-	p.addr, p.grpc, p.discovery = addr, grpc, d
-	require.Eventually(t, func() bool { return p.health() == 200 }, patience, 5*time.Millisecond, p.logged)
+	env := []string{"TERNSTAGE_FLIGHT=" + file}
+	mgmt := ""
+	if o.mgmt {
+		if o.tmp == "" {
+			o.tmp = t.TempDir()
+		}
+		mgmt = freeAddress(t)
+		env = append(env, "BALANCER_MGMT="+mgmt, "TMPDIR="+o.tmp)
+	}
+	p := launchWith(t, text, o.inherit, env...)
+	p.addr, p.grpc, p.discovery, p.mgmt = addr, grpc, d, mgmt
+	if !assert.Eventually(t, func() bool { return p.health() == 200 }, patience, 5*time.Millisecond) {
+		require.FailNow(t, "the program does not serve", p.logged())
+	}
 	return p
 }
 
