Hand cold sends over at an upgrade: the new process uses cold leafs in its first window

A start sends nothing to cold leafs in its first window (balance.go, coldLeft: 'now < b.born+b.s.FallFor'), since what it sent before is forgotten; half of the leafs had been replaced in the release and were cold. Ruled out: the held leafs (2 of 10, both out before and after), the old process (it refused 39 over its 7 s), the list (8 known).

Design: at SIGTERM the old process hands over: its module sends cold leafs nothing more and gives what it sent them in the window (balance.HandOver); upkeep writes that as a record beside the held leafs. The new process takes a record written after its own start (an earlier one is of a process long gone) once it knows every leaf it names, or once what it names is out of the window (internal/handover, no I/O), and its module counts those sends as its own and ends the wait (balance.TakeOver). Together they stay inside one share. Not taken: halving the share of both while they overlap, which would cost the old process's last second and still not tell the new one what was spent; and talk between the processes by a socket.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -562,7 +562,7 @@
 	if need = b.coldWork(cost); b.warm(now, r) {
 		return math.Inf(1), need
 	}
-	if now < b.born+b.s.FallFor {
+	if now < b.born+b.s.FallFor || b.handed {
 		return 0, need // what it sent before a restart is forgotten, and still counts
 	}
 	age, peers := max(0, now-r.warmFrom-b.s.FallFor/2), float64(b.s.Peers)
--- a/balance/state.go
+++ b/balance/state.go
@@ -46,6 +46,7 @@
 	tryTime              []float64 // what first tries of each class give us, in ms
 	hold, callTime       float64   // level from which replicas are held against; usual time of a mean call
 	born                 float64   // when its first list came
+	handed               bool      // another process takes over: nothing more goes to cold replicas
 	partTime             float64   // usual time of a part in its call
 	leastAim, maxWorth   float64
 	spare                float64 // ms
--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
@@ -46,8 +47,12 @@
 // heldFile keeps the leafs that operators hold out, in $TMPDIR, which the processes of an aggregator share.
 const heldFile = "ternstage-held-leafs.json"
 
+// handFile keeps what the process that hands over had sent to cold leafs, beside it.
+const handFile = "ternstage-cold-sent.json"
+
 // serve runs the broker until it is told to end.
 func serve(operatorFile string) error {
+	started := time.Now()
 	// Before anything else: guards against a signal whose default action would end the program while it starts.
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, unix.SIGHUP)
@@ -108,6 +113,11 @@
 		// Held leafs are read before the list, so that none of them is taken for serving at the start.
 		ops = upkeep.New(l, log, filepath.Join(os.TempDir(), heldFile), nodes, c, server)
 		nodes.HoldBy(ops.Bans())
+		if cfg.Inherited > 0 {
+			ops.HandOverBy(&upkeep.Hand{Path: filepath.Join(os.TempDir(), handFile), Window: cfg.Module.FallFor,
+				Started: float64(started.UnixMicro()) / 1000, Core: c,
+				Known: func(x uint32) bool { return nodes.Address(x) != "" }})
+		}
 		d, err := door.Listen(l, ops, log, cfg.Mgmt)
 		if err != nil {
 			return err
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -301,3 +301,11 @@
 
 // Epoch is that of the map in use.
 func (c *Core) Epoch() uint64 { return c.slices.Current().Epoch }
+
+// HandOver ends what this process sends to cold replicas and gives what it sent to them in the window of
+// their allowance, for the process that takes over (see balance.Balancer.HandOver).
+func (c *Core) HandOver() []balance.Sent { return c.module.HandOver(c.clock.Now()) }
+
+// TakeOver counts what the process that handed over sent to cold replicas, and ends the wait of the first
+// window after a start (see balance.Balancer.TakeOver).
+func (c *Core) TakeOver(sent []balance.Sent) { c.module.TakeOver(c.clock.Now(), sent) }
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,108 @@
+// Package handover carries what one process of an aggregator sent to cold leafs over to the process that
+// takes over from it, so that the new one need not wait a whole window of their allowance before it uses
+// them, and the two together stay within the one share of the aggregator. It decides and encodes; it does
+// no I/O and reads no clock: times are given, in ms, wall-clock ones as Unix time.
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"ternstage/balance"
+)
+
+// Version is the form of the record that this build writes and reads.
+const Version = 1
+
+// MaxSent is how many sends a record holds at most; beyond, the record is refused and the new process waits
+// out the window as after any start.
+const MaxSent = 65536
+
+// Record is what a process that hands over leaves for its successor.
+type Record struct {
+	Form    string         `json:"form"`
+	Version int            `json:"version"`
+	Written float64        `json:"written_unix_ms"` // when it handed over
+	Sent    []balance.Sent `json:"sent"`
+	Sum     uint32         `json:"sum"` // CRC-32 of the sends as JSON
+}
+
+const form = "ternstage cold sent"
+
+// ErrRecord wraps what is wrong with a record.
+var ErrRecord = errors.New("record of cold sends")
+
+// Encode writes a record of a hand-over at written (Unix ms).
+func Encode(written float64, sent []balance.Sent) []byte {
+	text, _ := json.Marshal(Record{Form: form, Version: Version, Written: written, Sent: sent, Sum: sum(sent)})
+	return append(text, '\n')
+}
+
+// Decode reads a record; one that is torn, of another form or version, or whose sum does not agree is an
+// error that wraps ErrRecord.
+func Decode(text []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(text, &r); err != nil {
+		return Record{}, fmt.Errorf("%w: torn or not JSON: %w", ErrRecord, err)
+	}
+	switch {
+	case r.Form != form:
+		return Record{}, fmt.Errorf("%w: form %q, not %q", ErrRecord, r.Form, form)
+	case r.Version != Version:
+		return Record{}, fmt.Errorf("%w: version %d, this build reads %d", ErrRecord, r.Version, Version)
+	case len(r.Sent) > MaxSent:
+		return Record{}, fmt.Errorf("%w: field sent: %d, over %d", ErrRecord, len(r.Sent), MaxSent)
+	case r.Sum != sum(r.Sent):
+		return Record{}, fmt.Errorf("%w: field sum: %d, the sends sum to %d", ErrRecord, r.Sum, sum(r.Sent))
+	}
+	return r, nil
+}
+
+// Verdict is what a process does with a record it has read.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Ignore Verdict = iota // not of the process it takes over from: written before this one started
+	Wait                  // of it, but it names leafs that this process does not know yet
+	Take                  // take it now
+)
+
+// Judge decides on a record, read at now (Unix ms) by a process that started at started (Unix ms), whose
+// cold allowance has a window of window ms. A record written before the start is an earlier hand-over, whose
+// writer is gone while the one that serves beside this process still sends. One that names leafs not yet
+// known is waited for, until what it says of them is older than the window and so no longer counts.
+func Judge(r Record, now, started, window float64, known func(replica uint32) bool) Verdict {
+	if r.Written < started {
+		return Ignore
+	}
+	if now-r.Written >= window {
+		return Take
+	}
+	for _, s := range r.Sent {
+		if !known(s.Replica) {
+			return Wait
+		}
+	}
+	return Take
+}
+
+// Aged gives the sends as of now (Unix ms): each is older by the time since the record was written, and
+// those older than the window are dropped.
+func Aged(r Record, now, window float64) []balance.Sent {
+	gone := max(0, now-r.Written)
+	out := make([]balance.Sent, 0, len(r.Sent))
+	for _, s := range r.Sent {
+		if s.Ago += gone; s.Ago <= window {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func sum(sent []balance.Sent) uint32 {
+	text, _ := json.Marshal(sent)
+	return crc32.ChecksumIEEE(text)
+}
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,50 @@
+package handover
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ternstage/balance"
+)
+
+func TestRecord(t *testing.T) {
+	sent := []balance.Sent{{Replica: 7, Ago: 100, Work: 40}, {Replica: 9, Ago: 1400, Work: 80}}
+	text := Encode(1e12, sent)
+	r, err := Decode(text)
+	require.NoError(t, err)
+	assert.Equal(t, sent, r.Sent)
+	assert.Equal(t, 1e12, r.Written)
+	for n := range len(text) - 1 {
+		_, err := Decode(text[:n])
+		assert.ErrorIs(t, err, ErrRecord, "torn at %d", n)
+	}
+	for _, c := range []struct{ text, says string }{
+		{`{"form":"ternstage cold sent","version":9,"sent":[],"sum":0}`, "version 9"},
+		{`{"form":"x","version":1,"sent":[],"sum":0}`, "form"},
+		{`{"form":"ternstage cold sent","version":1,"sent":[{"replica":1,"ago_ms":1,"work_ms":2}],"sum":3}`,
+			"field sum"},
+	} {
+		_, err := Decode([]byte(c.text))
+		assert.ErrorContains(t, err, c.says)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	known := func(x uint32) bool { return x != 9 }
+	r := Record{Written: 10_000, Sent: []balance.Sent{{Replica: 7, Ago: 100, Work: 40}}}
+	assert.Equal(t, Ignore, Judge(r, 10_100, 10_001, 1500, known), "an earlier hand-over is not of this one")
+	assert.Equal(t, Take, Judge(r, 10_100, 9_000, 1500, known))
+	r.Sent = append(r.Sent, balance.Sent{Replica: 9, Ago: 0, Work: 10})
+	assert.Equal(t, Wait, Judge(r, 10_100, 9_000, 1500, known), "a leaf not known yet is waited for")
+	assert.Equal(t, Take, Judge(r, 11_500, 9_000, 1500, known), "until what is said of it no longer counts")
+}
+
+func TestAged(t *testing.T) {
+	r := Record{Written: 10_000, Sent: []balance.Sent{{Replica: 7, Ago: 100, Work: 40},
+		{Replica: 8, Ago: 1300, Work: 50}}}
+	assert.Equal(t, []balance.Sent{{Replica: 7, Ago: 400, Work: 40}}, Aged(r, 10_300, 1500),
+		"older by the time since it was written, and out of the window dropped")
+	assert.Len(t, Aged(r, 9_000, 1500), 2, "a clock that went back ages nothing")
+}
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -9,10 +9,12 @@
 	"io/fs"
 	"os"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
 	"ternstage/balance"
+	"ternstage/internal/handover"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
 	"ternstage/internal/maint"
@@ -56,6 +58,29 @@
 	bad      stamp // of a file that could not be used, logged once
 	timer    *loop.Timer
 	stopping bool
+	hand     *Hand // nil where no other process takes over
+}
+
+// Hand is what a hand-over of cold sends between the processes of an aggregator needs.
+type Hand struct {
+	Path    string  // of the record, beside the held leafs
+	Window  float64 // ms: of the allowance of cold leafs
+	Started float64 // Unix ms: when this process started
+	Core    interface {
+		HandOver() []balance.Sent
+		TakeOver(sent []balance.Sent)
+	}
+	Known func(replica uint32) bool // the leaf is listed here
+
+	stamp, bad stamp
+	record     *handover.Record // read, and waited on
+	taken      bool
+}
+
+// HandOverBy has the upkeep hand cold sends over at Stop, and take them over from the process before.
+func (u *Upkeep) HandOverBy(h *Hand) {
+	u.hand = h
+	u.lookHand()
 }
 
 // stamp tells one content of a file from another without reading it.
@@ -80,8 +105,54 @@
 // Start begins to look at the file and at the phase of a drain.
 func (u *Upkeep) Start() { u.timer.Set(u.loop.Now() + Look) }
 
-// Stop tells that the program ends: it is no longer ready.
-func (u *Upkeep) Stop() { u.stopping = true }
+// Stop tells that the program ends: it is no longer ready, and another process takes over what it sent
+// to cold leafs.
+func (u *Upkeep) Stop() {
+	if u.stopping {
+		return
+	}
+	u.stopping = true
+	if h := u.hand; h != nil {
+		h.taken = true // what it writes now is its successor's, not its own
+		sent := h.Core.HandOver()
+		err := writeFile(h.Path, handover.Encode(float64(time.Now().UnixMicro())/1000, sent))
+		u.log.Info("cold sends handed over", zap.Int("sent", len(sent)), zap.Error(err))
+	}
+}
+
+// lookHand reads the record of the process before, if it has changed, and takes it over when it may.
+func (u *Upkeep) lookHand() {
+	h := u.hand
+	if h == nil || h.taken {
+		return
+	}
+	if fi, err := os.Stat(h.Path); err == nil && stampOf(fi) != h.stamp && stampOf(fi) != h.bad {
+		text, err := os.ReadFile(h.Path)
+		var r handover.Record
+		if err == nil {
+			r, err = handover.Decode(text)
+		}
+		if err != nil {
+			h.bad = stampOf(fi)
+			u.log.Warn("cold sends not taken over", zap.String("file", h.Path), zap.Error(err))
+			return
+		}
+		h.stamp, h.record = stampOf(fi), &r
+	}
+	if h.record == nil {
+		return
+	}
+	now := float64(time.Now().UnixMicro()) / 1000
+	switch handover.Judge(*h.record, now, h.Started, h.Window, h.Known) {
+	case handover.Ignore:
+		h.record = nil
+	case handover.Take:
+		sent := handover.Aged(*h.record, now, h.Window)
+		h.Core.TakeOver(sent)
+		h.taken, h.record = true, nil
+		u.log.Info("cold sends taken over", zap.Int("sent", len(sent)))
+	}
+}
 
 // Ready implements door.Calls.
 func (u *Upkeep) Ready() bool { return !u.stopping && u.front.Healthy() }
@@ -139,6 +210,7 @@
 
 func (u *Upkeep) tick() {
 	u.look()
+	u.lookHand()
 	u.follow()
 	u.timer.Set(u.loop.Now() + Look)
 }
@@ -202,17 +274,25 @@
 // write keeps the held leafs: a new file under another name takes the old one's place in one rename, so
 // that a reader sees the old or the new and never half of one.
 func (u *Upkeep) write() error {
-	next := fmt.Sprintf("%s.%d.new", u.path, os.Getpid())
-	if err := os.WriteFile(next, maint.Encode(u.bans.IDs()), 0o600); err != nil {
+	if err := writeFile(u.path, maint.Encode(u.bans.IDs())); err != nil {
+		return err
+	}
+	if fi, err := os.Stat(u.path); err == nil {
+		u.stamp = stampOf(fi)
+	}
+	return nil
+}
+
+// writeFile puts a file in place in one rename.
+func writeFile(path string, text []byte) error {
+	next := fmt.Sprintf("%s.%d.new", path, os.Getpid())
+	if err := os.WriteFile(next, text, 0o600); err != nil {
 		_ = os.Remove(next)
 		return fmt.Errorf("write %s: %w", next, err)
 	}
-	if err := os.Rename(next, u.path); err != nil {
+	if err := os.Rename(next, path); err != nil {
 		_ = os.Remove(next)
-		return fmt.Errorf("rename to %s: %w", u.path, err)
-	}
-	if fi, err := os.Stat(u.path); err == nil {
-		u.stamp = stampOf(fi)
+		return fmt.Errorf("rename to %s: %w", path, err)
 	}
 	return nil
 }
