Hold the operators' door against api/mgmt.yaml in real exchanges

The description of the door was not checked by anything. TestMgmtAPI validates it, then each call and answer of readyz, suspend (yes and a no for an id never listed), resume, drain and activate against it.

--- a/test/api_test.go
+++ b/test/api_test.go
@@ -123,3 +123,42 @@
 		assert.NoError(t, is("list", v))
 	}
 }
+
+// TestMgmtAPI holds real exchanges with the operators' door against its description.
+func TestMgmtAPI(t *testing.T) {
+	doc, err := openapi3.NewLoader().LoadFromFile("../api/mgmt.yaml")
+	require.NoError(t, err)
+	require.NoError(t, doc.Validate(context.Background()))
+	router, err := gorillamux.NewRouter(doc)
+	require.NoError(t, err)
+	_, p := site(t, nil, options{mgmt: true})
+	for _, c := range []struct {
+		method, target string
+		status         int
+	}{
+		{"GET", "/v1/readyz", 200},
+		{"PUT", "/v1/leafs/s-1/suspend", 200},
+		{"PUT", "/v1/leafs/s-7/suspend", 404},
+		{"PUT", "/v1/leafs/s-1/resume", 200},
+		{"PUT", "/v1/aggregator/drain", 200},
+		{"GET", "/v1/readyz", 503},
+		{"PUT", "/v1/aggregator/activate", 200},
+	} {
+		r, err := http.NewRequest(c.method, "http://"+p.mgmt+c.target, nil)
+		require.NoError(t, err)
+		route, params, err := router.FindRoute(r)
+		require.NoError(t, err, c.target)
+		in := &openapi3filter.RequestValidationInput{Request: r, PathParams: params, Route: route}
+		require.NoError(t, openapi3filter.ValidateRequest(context.Background(), in))
+		a, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		body, err := io.ReadAll(a.Body)
+		require.NoError(t, err)
+		_ = a.Body.Close()
+		assert.Equal(t, c.status, a.StatusCode, "%s %s", c.target, body)
+		out := &openapi3filter.ResponseValidationInput{RequestValidationInput: in, Status: a.StatusCode,
+			Header: a.Header, Body: io.NopCloser(bytes.NewReader(body)),
+			Options: &openapi3filter.Options{IncludeResponseStatus: true}}
+		assert.NoError(t, openapi3filter.ValidateResponse(context.Background(), out), "%s %d", c.target, c.status)
+	}
+}
