The door rests its listener when descriptors run out, and has its own of the budget

Read again: the door's accept took any error for EAGAIN and returned, so that a listener left ready for want of descriptors would have the loop wake at once, again and again. Door tests pass.

--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -84,6 +84,9 @@
 		return err
 	}
 	files := cfg.Sockets - spareFiles
+	if cfg.Mgmt != "" {
+		files -= door.MaxConns + 1 // the operators' door and its callers
+	}
 	clientFiles := files - files/leafShare
 	if fc.Enabled {
 		// Flight's connections come out of the clients' part of the descriptors.
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -59,6 +59,7 @@
 	timer   *loop.Timer
 	Counts  Counts
 	address string
+	resting bool // the listener is not watched, for want of descriptors
 }
 
 // Counts are what the door has seen since the start.
@@ -85,8 +86,16 @@
 func (d *Door) Ready(uint32) {
 	for range MaxConns {
 		fd, err := loop.Accept(d.fd)
+		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
+			return
+		}
 		if err != nil {
-			return // EAGAIN, or no descriptor: the caller waits in the kernel's queue and is taken later
+			// No descriptor: the caller waits in the kernel's queue, and the listener is left alone for a
+			// while, as it stays ready and would have the loop spin.
+			d.loop.Want(d.fd, 0)
+			d.resting = true
+			d.timer.Sooner(d.loop.Now() + tendStep)
+			return
 		}
 		if len(d.conns) >= MaxConns {
 			d.makeRoom()
@@ -122,6 +131,10 @@
 // tend answers calls that take too long and closes what lingers.
 func (d *Door) tend() {
 	now := d.loop.Now()
+	if d.resting && d.fd >= 0 {
+		d.resting = false
+		d.loop.Want(d.fd, unix.EPOLLIN)
+	}
 	for c := range d.conns {
 		switch {
 		case c.answered && now-c.answeredAt > LingerBy:
