Reread at depth: a kept listener is set non-blocking at each accept; one log line a call

Reading the diff again as on-call staff would: - The guard against a shared listener set back to blocking was SO_RCVTIMEO, and a process was still seen held in inet_csk_accept with it set (the trace when the upgrade test hung). It is gone; the clients' front sets O_NONBLOCK again before each round of accepts on a kept listener, one fcntl a wake-up with clients waiting. TestSharedListenerSetBack starts two processes on a listener that Go's exec sets back to blocking: it passes, and fails in 15 s with the fcntl taken out. - The door wrote two lines for each call, 'operator call' and 'connection ended' O01, against the house style of one a connection: the call's line now carries code and peer, and stands for the connection. - The door's Counts were kept and read by nobody; each event has its code in the log. Tests of the door, upgrade, held leafs and drains pass unchanged in their assertions.

--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -103,6 +103,11 @@
 	if s.fd < 0 {
 		return
 	}
+	if s.kept {
+		// Whether a shared socket blocks is a flag that every process holding it may set back, and a blocking
+		// accept on a queue that another process emptied would hold the loop: it is set again each time.
+		_ = unix.SetNonblock(s.fd, true)
+	}
 	for range acceptMost {
 		if len(s.conns) >= s.most && !s.makeRoom() {
 			s.rest()
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -57,16 +57,10 @@
 	fd      int
 	conns   map[*conn]struct{}
 	timer   *loop.Timer
-	Counts  Counts
 	address string
 	resting bool // the listener is not watched, for want of descriptors
 }
 
-// Counts are what the door has seen since the start.
-type Counts struct {
-	Calls, Yes, No, Late, Crowded, Malformed uint64
-}
-
 // Listen opens the door on an address.
 func Listen(l *loop.Loop, calls Calls, log *logs.Log, address string) (*Door, error) {
 	fd, err := loop.Listen(address)
@@ -123,7 +117,6 @@
 			o = c
 		}
 	}
-	d.Counts.Crowded++
 	o.fail(503, errCrowded, logs.OperatorCrowded)
 	o.close(logs.OperatorCrowded, errCrowded)
 }
@@ -140,7 +133,6 @@
 		case c.answered && now-c.answeredAt > LingerBy:
 			c.close(logs.OperatorDone, nil)
 		case !c.answered && now-c.since > AnswerBy:
-			d.Counts.Late++
 			c.fail(408, errLate, logs.OperatorLate)
 		}
 	}
@@ -205,6 +197,7 @@
 	code       logs.Code // why it ends, where a no said so
 	err        error
 	peer       string
+	logged     bool // its call has had its line
 }
 
 // Ready implements loop.Handler.
@@ -221,7 +214,6 @@
 	method, path, size, err := head(c.s.In)
 	switch {
 	case err != nil:
-		c.door.Counts.Malformed++
 		c.fail(statusOf(err), err, logs.OperatorMalformed)
 	case size > 0 && len(c.s.In) >= size:
 		c.answer(method, path, c.door.route(method, path))
@@ -231,18 +223,12 @@
 }
 
 // answer writes the verdict and ends our side.
+// The call is the connection's one line in the log, in place of the line of its end.
 func (c *conn) answer(method, path string, v maint.Verdict) {
-	d := c.door
-	d.Counts.Calls++
-	if v.Yes() {
-		d.Counts.Yes++
-	} else {
-		d.Counts.No++
-	}
-	if path != "/v1/readyz" || !v.Yes() {
-		d.log.Info("operator call", zap.String("method", method), zap.String("path", path),
-			zap.Int("status", v.Status), zap.String("reason", v.Reason), zap.Bool("changed", v.Changed))
-	}
+	c.door.log.Info("operator call", zap.String("code", string(logs.OperatorDone)), zap.String("peer", c.peer),
+		zap.String("method", method), zap.String("path", path), zap.Int("status", v.Status),
+		zap.String("reason", v.Reason), zap.Bool("changed", v.Changed))
+	c.logged = true
 	c.reply(v.Status, v.Reason)
 }
 
@@ -293,7 +279,9 @@
 	if c.code != "" {
 		code, err = c.code, c.err
 	}
-	c.door.log.Conn(code, c.peer, 1, err)
+	if !c.logged || code != logs.OperatorDone {
+		c.door.log.Conn(code, c.peer, 1, err)
+	}
 }
 
 // head reads the head of a call: size is that of the head and body together, 0 while they have not come.
--- a/internal/loop/socket.go
+++ b/internal/loop/socket.go
@@ -110,12 +110,6 @@
 	if err := unix.SetNonblock(fd, true); err != nil {
 		return "", fmt.Errorf("descriptor %d: %w", fd, err)
 	}
-	// Whether the socket blocks is a flag of what other processes share, and one of them may set it back: a
-	// bound on the wait of accept keeps the loop from being held by a queue that another process emptied.
-	tv := unix.Timeval{Usec: 1000}
-	if err := unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &tv); err != nil {
-		return "", fmt.Errorf("descriptor %d: %w", fd, err)
-	}
 	unix.CloseOnExec(fd)
 	return netip.AddrPortFrom(netip.AddrFrom4(in4.Addr), uint16(in4.Port)).String(), nil
 }
--- a/test/ops_test.go
+++ b/test/ops_test.go
@@ -333,3 +333,23 @@
 	t.Cleanup(func() { _ = kept.Close() })
 	return kept
 }
+
+// TestSharedListenerSetBack: Go's exec sets the shared listener back to blocking as it starts the second
+// process; the first must not be held in accept by that.
+func TestSharedListenerSetBack(t *testing.T) {
+	ln, err := net.Listen("tcp", ownAddress())
+	require.NoError(t, err)
+	a := ln.Addr().String()
+	file, err := ln.(*net.TCPListener).File() // not made blocking once, as keptListener does
+	require.NoError(t, err)
+	_ = ln.Close()
+	ns := startNodes(t, wires[0], nil)
+	first := start(t, options{inherit: file, listen: a, members: ns.members})
+	start(t, options{inherit: file, listen: a, members: ns.members})
+	c := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 50 {
+		a, err := c.Get("http://" + first.addr + "/_health")
+		require.NoError(t, err, "a process is held in accept")
+		_ = a.Body.Close()
+	}
+}
