Read a pushed list from its agent at a steady pace; no watch spins

Behind it Watcher.answer called again at once, whatever came: 12,000 calls a second against an agent that answers at once.

Change: internal/membership decides when the list is read and what an answer, silence, refusal, a version that goes back or an empty list mean; no I/O, no clock. Pushed: every tenth of the drain grace (100 ms), a call that is silent for a quarter of it is made anew, the whole list after any break; the module is not asked. Asked: as before, but an answer within 20 ms that tells nothing is no watch.

Seen to fail before: no call to the agent at all.

--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -22,6 +22,7 @@
 	"ternstage/internal/leafs"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
+	"ternstage/internal/membership"
 	"ternstage/internal/reload"
 	"ternstage/internal/slicemap"
 	"ternstage/internal/upkeep"
@@ -102,7 +103,9 @@
 			DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare, Slices: m != nil},
 			nodes.Address)
 	}
-	watch := discovery.NewWatcher(l, c, log, nodes, cfg.Discovery)
+	reader := membership.NewReader(membership.Options{Pushed: !cfg.Module.MustAsk,
+		DrainGrace: cfg.Module.DrainGrace})
+	watch := discovery.NewWatcher(l, c, log, nodes, reader, cfg.Discovery)
 	c.Attach(back, watch)
 	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
 		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes, Pages: x.pages(c, m),
@@ -129,6 +132,7 @@
 		ops.Start()
 	}
 	watch.Known(cfg.Known)
+	watch.Start()
 	if m != nil {
 		var source slicemap.Source = catalog.NewSource(l, c, log, x.catalogue(cfg))
 		c.OnHint(source.Hint)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -5,20 +5,20 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"ternstage/balance"
 	"ternstage/internal/httpanswer"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
+	"ternstage/internal/membership"
 )
 
 const (
-	waitMS     = 3000   // of one watch call: silence must show before changes count as told
-	answerMost = 2000.0 // ms beyond the wait: a call without an answer by then has failed
-	dialMost   = 1000.0 // ms
-	maxAnswer  = 64<<10 + 16<<10
-	path       = "/catalog/members"
+	dialMost  = 1000.0 // ms
+	maxAnswer = 64<<10 + 16<<10
+	path      = "/catalog/members"
 )
 
 // Core takes the list.
@@ -26,32 +26,47 @@
 	ListChanged(kind balance.ListKind, entries []balance.Entry)
 }
 
-// Watcher keeps the list up to date over one connection. It implements core.List.
+// Watcher keeps the list up to date over one connection, by what its reader decides. It implements core.List.
 type Watcher struct {
-	loop     *loop.Loop
-	core     Core
-	log      *logs.Log
-	nodes    *Nodes
-	address  string
-	revision uint64
-	have     bool
-	s        *loop.Stream
-	up       bool
-	calling  bool // a call is out
-	calls    int
-	timer    *loop.Timer
+	loop    *loop.Loop
+	core    Core
+	log     *logs.Log
+	nodes   *Nodes
+	reader  *membership.Reader
+	address string
+	s       *loop.Stream
+	up      bool
+	calling bool // a watch is on, or a call is out
+	out     bool // a call is out
+	calls   int
+	timer   *loop.Timer // the call that is out has failed
+	again   *loop.Timer // the next call is due
+	silent  bool        // calls come to nothing: that is logged once, and its end
 }
 
-// NewWatcher makes a watcher that asks nothing until Watch.
-func NewWatcher(l *loop.Loop, c Core, log *logs.Log, nodes *Nodes, address string) *Watcher {
-	w := &Watcher{loop: l, core: c, log: log, nodes: nodes, address: address}
+// NewWatcher makes a watcher that asks nothing until Watch, or Start where the list is pushed.
+func NewWatcher(l *loop.Loop, c Core, log *logs.Log, nodes *Nodes, reader *membership.Reader,
+	address string) *Watcher {
+	w := &Watcher{loop: l, core: c, log: log, nodes: nodes, reader: reader, address: address}
 	w.timer = l.NewTimer(func() { w.fail(logs.DiscoveryTimeout, errors.New("no answer in time")) })
+	w.again = l.NewTimer(func() {
+		if w.calling && !w.out {
+			w.call()
+		}
+	})
 	return w
 }
 
+// Start begins to read a list that is pushed: the module does not ask for it.
+func (w *Watcher) Start() {
+	if w.reader.Pushed() {
+		w.Watch()
+	}
+}
+
 // Known takes the list that the configuration carries: possibly old, hence cached.
 func (w *Watcher) Known(l List) {
-	w.revision, w.have = l.Revision, l.Revision > 0 || len(l.Members) > 0
+	w.reader.Known(l.Revision, len(l.Members))
 	l.Complete = true
 	w.core.ListChanged(balance.ListCached, w.nodes.Apply(l, w.shift()))
 }
@@ -67,7 +82,7 @@
 	w.calling = true
 	// The module calls from the middle of its turn; the answer, a failure too, comes from the loop.
 	w.loop.Post(func() {
-		if w.calling && w.s == nil { // a move may have come between
+		if w.calling && !w.out { // a move may have come between
 			w.call()
 		}
 	})
@@ -78,12 +93,16 @@
 // its end is taken for the new one's.
 func (w *Watcher) Move(address string) {
 	w.drop(logs.DiscoveryMoved, nil)
-	w.address, w.revision, w.have, w.calling = address, 0, false, true
+	w.reader.Moved()
+	w.address, w.calling = address, true
 	w.call()
 }
 
 // call sends the next call of the watch, on the connection of the last if that is still open.
 func (w *Watcher) call() {
+	c := w.reader.Begin(w.loop.Now())
+	w.out = true
+	w.again.Stop()
 	if w.s == nil {
 		fd, err := loop.Connect(w.address)
 		if err == nil {
@@ -94,13 +113,13 @@
 			return
 		}
 		w.up = false
-		w.timer.Set(w.loop.Now() + dialMost)
+		w.timer.Set(w.loop.Now() + min(dialMost, c.Patience))
 	} else {
-		w.timer.Set(w.loop.Now() + waitMS + answerMost)
+		w.timer.Set(w.loop.Now() + c.Patience)
 	}
 	target := path
-	if w.have {
-		target = fmt.Sprintf("%s?index=%d&wait=%d", path, w.revision, waitMS)
+	if !c.Whole {
+		target = fmt.Sprintf("%s?index=%d&wait=%.0f", path, c.Index, c.Wait)
 	}
 	w.s.Out = append(w.s.Out, "GET "+target+" HTTP/1.1\r\nHost: "+w.address+"\r\n\r\n"...)
 	w.write()
@@ -132,7 +151,7 @@
 			return
 		}
 		w.up = true
-		w.timer.Set(w.loop.Now() + waitMS + answerMost)
+		w.timer.Set(w.loop.Now() + w.reader.Patience())
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		eof, err := w.s.Read(maxAnswer)
@@ -144,12 +163,14 @@
 		case eof && w.calls > calls:
 			// Its end came right behind an answer: the watch goes on over a new connection.
 			w.drop(logs.DiscoveryEnded, nil)
-			w.call()
+			if w.out { // the next call was on this one
+				w.call()
+			}
 			return
 		case err != nil:
 			w.fail(logs.DiscoveryReset, err)
 			return
-		case eof && w.calling && w.s.Out == nil || eof && len(w.s.In) > 0:
+		case eof && w.out && w.s.Out == nil || eof && len(w.s.In) > 0:
 			w.fail(logs.DiscoveryEnded, nil)
 			return
 		case eof:
@@ -169,7 +190,7 @@
 		}
 		return
 	}
-	if err == nil && !w.calling {
+	if err == nil && !w.out {
 		err = errors.New("an answer to no call")
 	}
 	if err == nil && status != 200 {
@@ -185,16 +206,34 @@
 	}
 	w.calls++
 	w.s.Consume(size)
-	kind := balance.ListDelta
-	if l.Complete {
-		kind = balance.ListFull
+	w.timer.Stop()
+	w.out = false
+	if w.silent {
+		w.silent = false
+		w.log.Info("list is read again", zap.String("address", w.address), zap.Any("counts", w.reader.Stats()))
+	}
+	next := w.reader.Answered(w.loop.Now(), membership.Answer{Complete: l.Complete, Revision: l.Revision,
+		Members: len(l.Members)})
+	if next.Err != nil {
+		w.log.Warn("list not taken", zap.String("code", string(logs.DiscoveryNotTaken)),
+			zap.Uint64("revision", l.Revision), zap.Error(next.Err))
+	}
+	if next.Take {
+		kind := balance.ListDelta
+		if l.Complete {
+			kind = balance.ListFull
+		}
+		w.core.ListChanged(kind, w.nodes.Apply(l, w.shift()))
 	}
-	w.revision, w.have = l.Revision, true
-	w.core.ListChanged(kind, w.nodes.Apply(l, w.shift()))
 	if last {
 		w.drop(logs.DiscoveryEnded, nil)
 	}
-	w.call() // at once: a watch goes on only if the next call comes within 200 ms
+	// A watch goes on only if the next call comes within 200 ms.
+	if next.At <= w.loop.Now() {
+		w.call()
+	} else {
+		w.again.Set(next.At)
+	}
 }
 
 // drop closes the connection.
@@ -207,17 +246,31 @@
 	}
 }
 
-// fail ends the watch. The module hears of it and asks again after a delay of its own.
+// fail ends a call that came to nothing. Where the list is asked for the watch ends with it: the module hears
+// of it and asks again after a delay of its own. An agent is read on at its pace.
 func (w *Watcher) fail(code logs.Code, err error) {
-	if w.s == nil {
+	if w.s == nil && !w.silent {
 		w.log.Conn(code, w.address, 0, err)
 	}
 	w.drop(code, err)
 	w.timer.Stop()
-	if w.calling {
+	w.again.Stop()
+	if !w.calling {
+		return
+	}
+	w.out = false
+	next := w.reader.Failed(w.loop.Now())
+	if next.Tell {
 		w.calling = false
 		w.core.ListChanged(balance.ListFailed, nil)
+		return
+	}
+	if !w.silent {
+		w.silent = true
+		w.log.Warn("list is silent: the last one holds", zap.String("code", string(logs.DiscoverySilent)),
+			zap.String("address", w.address))
 	}
+	w.again.Set(next.At)
 }
 
 // Close ends the watch without a word.
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -42,6 +42,8 @@
 	DiscoveryTimeout  Code = "D04"
 	DiscoveryBad      Code = "D05"
 	DiscoveryMoved    Code = "D06"
+	DiscoverySilent   Code = "D07" // an agent that is pushed lists does not answer: the last list holds
+	DiscoveryNotTaken Code = "D08" // a list that would undo what is known
 	SlicesEnded       Code = "M01"
 	SlicesReset       Code = "M02"
 	SlicesRefused     Code = "M03"
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,169 @@
+// Package membership decides when a broker asks for the list of nodes and what an answer, or none, means. It
+// does no I/O and reads no clock: times are ms of one monotonic clock that the caller passes in.
+//
+// There are two ways in which a list comes. Where it is asked for, one service answers all brokers, calls
+// wait in turn, and the decision module says when to call (balance, MustAsk). Where it is pushed, an agent on
+// the broker's own machine answers at once with what it has been sent, and whatever it has counts as told,
+// whether it was read or not. So the agent is read at a steady pace that the rule on drains gives, and the
+// module only hears what came.
+package membership
+
+import "errors"
+
+const (
+	// Of the drain grace the module uses half after it was informed. The other half is for reading: a period,
+	// the patience with a call that fell silent, and what the answer takes.
+	periodShare   = 0.1
+	patienceShare = 0.25
+	leastPeriod   = 20.0  // ms: 50 calls a second to the agent at most, whatever the grace
+	mostPeriod    = 200.0 // ms: a list that nobody's rule hurries is still read
+	// How long a watch waits, and how long beyond that a call may take, where the list is asked for: silence
+	// must show before changes count as told.
+	watchWait  = 3000.0 // ms
+	answerMost = 2000.0 // ms
+	// A watch is called again at once, but an answer that comes sooner than this after its call and tells
+	// nothing is no watch: then the next call waits.
+	spinLeast = 20.0 // ms
+)
+
+// ErrBehind tells that a change builds on a list that is not ours: the whole list is asked for.
+var ErrBehind = errors.New("the list's version went back")
+
+// ErrEmpty tells that a whole list without any member was not taken, since one with members is known.
+var ErrEmpty = errors.New("an empty list in place of one with members")
+
+// Call is how the next call is made.
+type Call struct {
+	Whole    bool    // the whole list is asked for, not what is newer than Index
+	Index    uint64  // the version that is known
+	Wait     float64 // ms that a call for changes may wait at the other side
+	Patience float64 // ms after which a call without an answer has failed
+}
+
+// Answer is what came of a call.
+type Answer struct {
+	Complete bool
+	Revision uint64
+	Members  int
+}
+
+// Next is what follows an answer or a failure.
+type Next struct {
+	At   float64 // when to call again
+	Take bool    // what came is given to the module
+	Tell bool    // the module is told of the failure, and says itself when to call again: At counts for nothing
+	Err  error   // why what came is not taken, nil if it is
+}
+
+// Stats are what a reader has counted.
+type Stats struct{ Calls, Failed, Behind, Empty uint64 }
+
+// Reader is what a broker knows of its way to the list.
+type Reader struct {
+	pushed          bool
+	period, patient float64
+	revision        uint64
+	have            bool // revision is of the list that is known
+	members         bool // that list has had members
+	began           float64
+	stats           Stats
+}
+
+// Options say which way the list comes.
+type Options struct {
+	Pushed     bool
+	DrainGrace float64 // ms after being told in which work may still go to a node that drains; 0 for no rule
+}
+
+// NewReader makes a reader that knows no list.
+func NewReader(o Options) *Reader {
+	r := &Reader{pushed: o.Pushed, period: mostPeriod, patient: watchWait + answerMost}
+	if o.DrainGrace > 0 {
+		r.period = min(max(o.DrainGrace*periodShare, leastPeriod), mostPeriod)
+	}
+	if r.pushed {
+		r.patient = max(r.period*patienceShare/periodShare, 2*leastPeriod)
+	}
+	return r
+}
+
+// Pushed tells that the reader calls by itself, and the module is not asked when.
+func (r *Reader) Pushed() bool { return r.pushed }
+
+// Period is the ms between calls where the list is pushed.
+func (r *Reader) Period() float64 { return r.period }
+
+// Patience is the ms after which a call without an answer has failed.
+func (r *Reader) Patience() float64 { return r.patient }
+
+// Stats are the counts so far.
+func (r *Reader) Stats() Stats { return r.stats }
+
+// Known takes the version of a list that the broker was started with.
+func (r *Reader) Known(revision uint64, members int) {
+	// An agent costs nobody anything: the whole list is read first.
+	r.revision, r.have = revision, !r.pushed && (revision > 0 || members > 0)
+	r.members = members > 0
+}
+
+// Moved tells that the list is asked for elsewhere: versions need not be the same there.
+func (r *Reader) Moved() { r.have = false }
+
+// Begin notes a call and says how it is made.
+func (r *Reader) Begin(now float64) Call {
+	r.began = now
+	r.stats.Calls++
+	c := Call{Whole: !r.have, Index: r.revision, Wait: watchWait, Patience: r.patient}
+	if r.pushed {
+		// An agent that does wait must have answered well before patience ends.
+		c.Wait = min(r.period, r.patient/2)
+	}
+	return c
+}
+
+// Answered takes a list that came.
+func (r *Reader) Answered(now float64, a Answer) Next {
+	n := Next{At: now, Take: true}
+	switch {
+	case !a.Complete && (!r.have || a.Revision < r.revision):
+		// A service that has started anew, or has lost what it had, counts from elsewhere. What changed since a
+		// list that we have not says nothing of the others.
+		n.Take, n.Err, r.have = false, ErrBehind, false
+		r.stats.Behind++
+		n.At = r.began + max(spinLeast, r.pace())
+		return n
+	case a.Complete && a.Members == 0 && r.members:
+		// It cannot be told from a service that has only just started: the last list holds, with all drains heard.
+		n.Take, n.Err, r.have = false, ErrEmpty, false
+		r.stats.Empty++
+		n.At = now + max(spinLeast, r.pace())
+		return n
+	}
+	r.revision, r.have = a.Revision, true
+	r.members = r.members && !a.Complete || a.Members > 0
+	if r.pushed {
+		n.At = max(now, r.began+r.period)
+	} else if a.Members == 0 && now < r.began+spinLeast {
+		n.At = r.began + spinLeast
+	}
+	return n
+}
+
+// Failed takes a call that came to nothing: refused, reset, silent, or with an answer that is no list.
+func (r *Reader) Failed(now float64) Next {
+	r.stats.Failed++
+	if !r.pushed {
+		return Next{Tell: true}
+	}
+	// An agent that was away may have started anew. It is on this machine: asking again at the usual pace
+	// burdens nobody, and any longer delay would be missing when it speaks again.
+	r.have = false
+	return Next{At: max(now, r.began+r.period)}
+}
+
+func (r *Reader) pace() float64 {
+	if r.pushed {
+		return r.period
+	}
+	return 0
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -98,6 +98,8 @@
 	calls []time.Time
 	ends  []time.Time // of answers
 	down  bool
+	agent bool // lists are pushed to it: it answers at once with what it has
+	mute  bool // it is silent
 	raw   [][]byte // answers as sent
 
 	targets []string // of calls
@@ -120,7 +122,13 @@
 	index, _ := strconv.Atoi(r.URL.Query().Get("index"))
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
 	by := time.After(time.Duration(wait) * time.Millisecond)
-	for waiting := true; waiting && index >= d.list.Revision && !d.down; {
+	if d.mute {
+		d.mu.Unlock()
+		<-r.Context().Done()
+		d.mu.Lock()
+		return
+	}
+	for waiting := !d.agent; waiting && index >= d.list.Revision && !d.down; {
 		next := d.next
 		d.mu.Unlock()
 		select {
@@ -137,6 +145,9 @@
 		return
 	}
 	text, _ := json.Marshal(d.list)
+	if d.agent && r.URL.Query().Has("index") && index == d.list.Revision {
+		text = fmt.Appendf(nil, `{"revision":%d,"complete":false,"members":[]}`, index)
+	}
 	d.raw, d.told = append(d.raw, text), time.Now()
 	_, _ = w.Write(text)
 	d.ends = append(d.ends, time.Now())
@@ -244,6 +255,7 @@
 		o.settings = settings()
 	}
 	d := newDiscovery(t, o.members)
+	d.agent = o.settings["discovery"] == "pushed"
 	addr, grpc := freeAddress(t), freeAddress(t)
 	if o.listen != "" {
 		addr = o.listen
