--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -98,8 +98,8 @@
 	calls []time.Time
 	ends  []time.Time // of answers
 	down  bool
-	agent bool // lists are pushed to it: it answers at once with what it has
-	mute  bool // it is silent
+	agent bool     // lists are pushed to it: it answers at once with what it has
+	mute  bool     // it is silent
 	raw   [][]byte // answers as sent
 
 	targets []string // of calls
