Try a replica after a stall, measure waits by set of replicas, copy where none waits

Change: tried (balance.go) tells a stall from slowness by what is sent after it; one trial at a time, resting twice as long after each slow one. held goes by the set of replicas (layout.go). A copy is barred by what waits for the same replicas, or by a refusal where the whole fleet is slow. Not taken: a cap on the level; slow replicas need it high.

--- a/balance/api.go
+++ b/balance/api.go
@@ -53,7 +53,6 @@
 	AskWithin float64 // not having asked for so long counts as being informed
 
 	Cancel, SecondCopies bool
-	PeerMessages         bool
 	MaxAttempts          int // attempts for one part, 0 for no limit
 	MaxRetryAfter        float64
 
@@ -220,8 +219,6 @@
 	Wake(after float64)
 	// Watch subscribes to changes of the list; a ListChanged event answers.
 	Watch()
-	// Tell sends a short message to all other co-ordinators; their PeerTold takes it. Loss does no harm.
-	Tell(message []byte)
 	// Log writes one line for the people on call.
 	Log(text string)
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,9 +11,7 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"errors"
-	"fmt"
 	"math"
 	"slices"
 )
@@ -56,15 +54,13 @@
 	idleDoubt   = 0.35  // doubt from which idle connections are closed before a send
 	idleMemory  = 30000 // ms: half-life of that doubt; then idle connections are tried again
 	quickReset  = 0.5   // mean parts' work: a reset or refused connection so soon tells of no work done
-	harmAfter   = 2     // replicas lost in turn under a key, with no answer between, make it harmful
-	harmFor     = 10000 // ms after the last loss in which queries of a harmful key are turned away
-	harmKeys    = 64    // keys: losses of so many are remembered, the latest
 	failGain    = 0.6   // weight of the newest outcome: a failure makes a suspect, a success clears it in part
 	failSuspect = 0.5   // share of failures from which a replica is a suspect
 	failUnsafe  = 0.1   // the same for parts that must not run twice
 	slowSuspect = 3.5   // x the fleet's level from which a replica is a suspect
 	doubtWeight = 30.0  // levels: what a doubt of 1 weighs between replicas for such parts
 	slowUnsafe  = 2.0   // the same for parts that must not run twice
+	trialRest   = 10.0  // mean parts' work: how long after a trial that came back slow the next one may be
 	slowWay     = 2.0   // x the best zone's level from which a zone's replicas are suspects
 	crossTie    = 0.5   // levels: what another zone weighs between replicas with equally few calls out
 	tieNoise    = 0.15  // levels: random part of a tie, so that co-ordinators do not move in step
@@ -77,9 +73,10 @@
 	hedgeWindow = 2000  // ms
 	moveLevel   = 4.0   // x another replica's level: from there on a late part moves to it
 	moveDoubt   = 0.5   // what that says of the first one for parts that must not run twice
-	jamFor      = 1000  // ms after a refusal or a full replica in which no second copy is made
-	shedAt      = 0.06  // x aim: a part held so long makes the module refuse what is worth least
-	shedSpan    = 0.20  // x aim: so much more for what is worth most
+	jamFor      = 1000  // ms after a refusal or a full replica in which a slow fleet makes no second copy
+	slowFleet   = 2.0   // x usual: a fleet whose median call takes longer is slow
+	shedAt      = 0.03  // x aim: a part held so long at its replicas makes the module refuse what is worth least
+	shedSpan    = 0.30  // x aim: so much more for what is worth most
 	tryShort    = 0.97  // of what first tries are given: a repeat with less left is cut by its class's deadline
 	repeatWorth = 0.25  // worth of a query asked before: part of its time is gone, and what refused it may last
 	lateLittle  = 0.15  // worth after the aim under which an answer is not waited for
@@ -118,7 +115,7 @@
 		fleet: 1, median: 1, bestWay: 1, ways: map[int]stamp{}, room: never,
 		spare: answerSpare + s.Tick, hold: holdLeast, cores: 1, leastAim: never, wakeAt: never,
 		watchAt: never, jamAt: -never, tenants: make([]stamp, len(s.Tenants)),
-		far:     map[int]*shard{},
+		far: map[int]*shard{}, waits: map[int]float64{},
 		tryTime: make([]float64, len(s.Classes))}
 	for _, c := range s.Classes {
 		b.maxWorth, b.leastAim = max(b.maxWorth, c.Worth), min(b.leastAim, c.Aim)
@@ -270,10 +267,6 @@
 	if p.q.ended || p.in {
 		return
 	}
-	if b.lossOf(p.q.Key).harmful(now) {
-		b.finish(now, p.q)
-		return
-	}
 	if res.Outcome == OK {
 		p.q.share += p.arrive()
 		b.cancel(p)
@@ -309,6 +302,7 @@
 	for _, s := range b.active {
 		s.tidy(now)
 	}
+	b.noteHeld(now)
 	for _, q := range b.fresh {
 		if q.fresh = false; !q.ended {
 			b.admit(now, q)
@@ -357,7 +351,7 @@
 	}
 	// What the list names no holders for is not waited for: the client can come back.
 	if shed || len(q.parts) == 0 || q.step == 0 && listed < q.class.Floor-weightSlack ||
-		now >= q.Deadline-b.spare || b.lossOf(q.Key).harmful(now) {
+		now >= q.Deadline-b.spare {
 		b.finish(now, q)
 		return
 	}
@@ -603,8 +597,28 @@
 // suspect. Guards against slow, stalled, failing and unreachable replicas; may starve an unlucky one until
 // that fades.
 func (b *Balancer) fit(now float64, r *replica) bool {
-	return r.State == Ready && b.fade(r.fail, now) < failSuspect && b.levelOf(now, r) < slowSuspect*b.fleet &&
-		b.wayOf(now, r.Zone) < slowWay*b.bestWay
+	level := b.levelOf(now, r)
+	return r.State == Ready && b.fade(r.fail, now) < failSuspect && b.wayOf(now, r.Zone) < slowWay*b.bestWay &&
+		(level < slowSuspect*b.fleet || len(r.out) == 0 && r.trials > 0 && now >= r.trialAt)
+}
+
+// tried learns from an answer, x times the usual latency, whether a replica stood still or is slow. What was
+// sent to one that stands comes back late all at once; a part sent after that is a trial, and one at usual
+// latency ends the suspicion at once. After each slow trial the next one waits twice as long. Guards sound
+// replicas against being left for seconds after a pause of 200 ms.
+func (b *Balancer) tried(now float64, a *attempt, x float64) {
+	r := a.r
+	if x < slowSuspect*b.fleet {
+		if a.sent > r.badAt && x <= b.hold {
+			r.trials, r.level.v = 0, min(r.level.v, max(0, x-1))
+		}
+		return
+	}
+	if a.sent > r.badAt {
+		r.trials++
+	}
+	rest := trialRest * b.work(1) * (math.Exp2(float64(r.trials-1)) - 1)
+	r.badAt, r.trialAt = now, now+min(rest, fadeMost)
 }
 
 // wayOf is the level of what comes from a zone, as the fleet's is of all: a slow way there is told from slow
@@ -676,7 +690,6 @@
 	}
 	switch res.Outcome {
 	case OK:
-		b.harm = slices.DeleteFunc(b.harm, func(l *loss) bool { return l.key == a.part.q.Key })
 		x := res.Latency / b.callCost(a)
 		b.usual = b.quantile(x)
 		if b.calm += (b.usual - b.calm) * calmGain; b.usual < b.calm || len(b.first) < usualFirst {
@@ -688,6 +701,7 @@
 		b.hold = min(max(holdAim*b.leastAim/b.callTime, holdLeast), holdMost)
 		observe(x / b.usual)
 		b.learnWay(now, r.Zone, x/b.usual)
+		b.tried(now, a, x/b.usual)
 		b.fleet = max(1, b.fleet*(1+math.Copysign(fleetStep, x-b.fleet*b.usual)))
 		// The parts of a long query come back sorted: they move the median that tells overload as a few would.
 		step := fleetStep * min(1, fleetParts/float64(len(a.part.q.parts)+1))
@@ -722,6 +736,9 @@
 	case TimedOut, Cancelled, Moot:
 		x := (now - a.sent) / b.expect(a)
 		observe(max(x, b.levelOf(now, r)))
+		if x >= slowSuspect*b.fleet {
+			r.trialAt = math.Inf(1) // it has not answered: its level has to fade
+		}
 		if x > b.hold && r.cutAt < a.sent {
 			r.room, r.cutAt = 1, now // guards against a crowd at a hung replica each time its bad level has faded
 		}
@@ -732,9 +749,6 @@
 	case ConnectFailed, Reset:
 		// Dead processes refuse at once; a dial that times out may be slow, and must fail twice to tell.
 		r.used = 0
-		if res.Outcome == Reset {
-			b.blame(now, a.sent, a.part.q.Key, r, 1)
-		}
 		if res.Outcome == Reset || quick {
 			r.lost, r.fail, r.shutUntil = true, stamp{now, 1}, now+shutFor*b.work(1)
 		} else {
@@ -785,34 +799,6 @@
 	return b.idleLost.v > idleDoubt
 }
 
-// blame notes under a query's key that a replica died with a part of it. Several in turn without an answer
-// make it harmful. Guards against queries that crash what takes them; may hit a key whose few parts met
-// crashes.
-func (b *Balancer) blame(now, sent float64, key uint64, r *replica, replicas int) {
-	l := b.lossOf(key)
-	if key == 0 || r != nil && (l.last == r || sent < l.at) {
-		return
-	}
-	b.harm = append(slices.DeleteFunc(b.harm, func(x *loss) bool { return x == l }),
-		&loss{key, l.replicas + replicas, now, r})
-	b.harm = b.harm[max(0, len(b.harm)-harmKeys):]
-	if r != nil && l.replicas+replicas == harmAfter {
-		b.act.Log(fmt.Sprintf("key %d is held to be harmful: %d replicas lost in turn", key, harmAfter))
-		if b.s.PeerMessages {
-			b.act.Tell(binary.LittleEndian.AppendUint64(nil, key))
-		}
-	}
-}
-
-func (l *loss) harmful(now float64) bool { return l.replicas >= harmAfter && now < l.at+harmFor }
-
-// PeerTold takes a key that another co-ordinator holds to be harmful; if that is untrue, an answer clears it.
-func (b *Balancer) PeerTold(now float64, message []byte) {
-	if len(message) == 8 {
-		b.blame(now, now, binary.LittleEndian.Uint64(message), nil, harmAfter)
-	}
-}
-
 // quantile is the fleet's usual latency with one more sample.
 func (b *Balancer) quantile(x float64) float64 {
 	if len(b.first) < usualFirst {
@@ -885,17 +871,13 @@
 		return false
 	}
 	if n >= 2 && n == b.s.MaxAttempts-1 && now < p.q.arrived+hedgeAim*p.q.class.Aim || !b.mayRepeat(now, p) ||
-		second && (now < b.jamAt+jamFor ||
+		second && (b.jammed(now, p) ||
 			b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow)) {
 		return false
 	}
 	if n > 0 && p.attempts[n-1].outcome == Cancelled && now < p.attempts[n-1].end+cancelRest {
 		return false
 	}
-	live := func(x *part) bool { return x.live > 0 }
-	if b.lossOf(p.q.Key).replicas > 0 && slices.ContainsFunc(p.q.parts, live) {
-		return false // it may be harmful: one part at a time, until one is answered
-	}
 	r, free := b.pick(now, p.Shard, p.cost, p, p)
 	if r == nil || !free || now < r.shutUntil || len(r.out) > 0 && b.levelOf(now, r) > b.hold {
 		return false
@@ -931,6 +913,12 @@
 	return true
 }
 
+// jammed tells that a second copy of a part would feed a jam: something is held at its replicas, or the whole
+// fleet is slow. One set of replicas that is short is no reason to lose what is late elsewhere.
+func (b *Balancer) jammed(now float64, p *part) bool {
+	return b.held(p.Shard, now) < now || b.median > slowFleet && now < b.jamAt+jamFor
+}
+
 // mayRepeat is the rule of effects: what a further attempt at a part needs.
 func (b *Balancer) mayRepeat(now float64, p *part) bool {
 	for _, a := range p.attempts {
--- a/balance/layout.go
+++ b/balance/layout.go
@@ -86,12 +86,21 @@
 	return s
 }
 
-// held tells since when the oldest call of a shard is held.
-func (b *Balancer) held(id int, now float64) float64 {
-	if s := b.shard(id); s != nil && s.active {
-		return s.oldest
+// noteHeld notes since when calls are held at each set of replicas: what waits at one of their shards says
+// how long a part of another one would.
+func (b *Balancer) noteHeld(now float64) {
+	clear(b.waits)
+	for _, s := range b.active {
+		if s.oldest < now {
+			g := b.s.Layout.Group(s.id)
+			b.waits[g] = min(s.oldest, cmp.Or(b.waits[g], s.oldest))
+		}
 	}
-	return now
+}
+
+// held tells since when the oldest call of a shard's replicas is held, as of the turn's beginning.
+func (b *Balancer) held(id int, now float64) float64 {
+	return cmp.Or(b.waits[b.s.Layout.Group(id)], now)
 }
 
 // sortActive sorts the active shards, so that a turn does the same whatever came first.
--- a/balance/state.go
+++ b/balance/state.go
@@ -16,12 +16,13 @@
 	replicas             map[uint32]*replica
 	order                []*replica // by id
 	byCell               map[int][]*replica
-	holders              [][]*replica   // by the layout's group; made when first asked for, nil before
-	near                 []*shard       // by id, below nearShards: those that something was queued at
-	far                  map[int]*shard // the others, while something is
-	active               []*shard       // those at which something is queued
-	sorted               bool           // active is in order
-	queries, fresh       []*query       // in order of arrival
+	holders              [][]*replica    // by the layout's group; made when first asked for, nil before
+	near                 []*shard        // by id, below nearShards: those that something was queued at
+	far                  map[int]*shard  // the others, while something is
+	active               []*shard        // those at which something is queued
+	sorted               bool            // active is in order
+	waits                map[int]float64 // by the layout's group: since when the oldest call is held there
+	queries, fresh       []*query        // in order of arrival
 	byID                 map[uint64]*query
 	byGroup              map[int]*query
 	parts                map[uint64]*part
@@ -32,7 +33,6 @@
 	fleet                float64       // the fleet's level: median over all results, 1 at least
 	lastEnd, gap         float64       // time of the last result and mean time between them
 	idleLost             stamp         // share of sends on idle connections that were lost lately
-	harm                 []*loss       // keys under which replicas were lost, the latest last
 	load, room, cutAt    float64       // cost out in all; what of it the fleet carries at its usual level; cut
 	admitted, median     float64       // when the last query was let in; the level that tells overload
 	ways                 map[int]stamp // by zone: the level of what comes from there, above 1
@@ -123,6 +123,9 @@
 	room, cutAt float64 // cost out that it carries at its usual latency; when that was last cut
 	shutUntil   float64 // it turned a part away as full
 	used        float64 // when our connection to it last carried something; 0 if there is none
+	badAt       float64 // when an answer last came back that made it a suspect
+	trialAt     float64 // from then on one part may go there though it is one
+	trials      int     // how many were slow in a row, above 0 while it is
 	idleHung    bool    // a part on an idle connection has hung there, and nothing has come back since
 	out         []*attempt
 	turn        int
@@ -141,14 +144,6 @@
 	return s.v * math.Exp2((s.at-now)/half)
 }
 
-// loss counts the replicas lost in turn under a key.
-type loss struct {
-	key      uint64
-	replicas int
-	at       float64
-	last     *replica
-}
-
 func (a *attempt) mayHaveRun() bool { return !a.ended || a.outcome < Full }
 
 func (p *part) tried(r *replica) bool {
@@ -176,14 +171,6 @@
 
 func (p *part) mayHaveRun() bool { return slices.ContainsFunc(p.attempts, (*attempt).mayHaveRun) }
 
-// lossOf is what is noted under a key.
-func (b *Balancer) lossOf(key uint64) *loss {
-	if i := slices.IndexFunc(b.harm, func(l *loss) bool { return l.key == key }); i >= 0 {
-		return b.harm[i]
-	}
-	return &loss{}
-}
-
 // window holds the times of what a budget counts, in order.
 type window []float64
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -501,8 +501,5 @@
 // Watch subscribes to the list.
 func (c *Core) Watch() { c.list.Watch() }
 
-// Tell has no way to go: the deployment has no messages between peers.
-func (c *Core) Tell([]byte) {}
-
 // Log writes the module's line.
 func (c *Core) Log(text string) { c.log.Module(text) }
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -50,7 +50,6 @@
 	Limits struct {
 		Cancel     bool    `json:"cancel"`
 		Parallel   bool    `json:"parallel_tries"`
-		Peers      bool    `json:"peer_messages"`
 		Tries      int     `json:"try_limit"`
 		RetryAfter bool    `json:"retry_after"`
 		MaxWait    float64 `json:"max_retry_after_ms"`
@@ -68,7 +67,7 @@
 	s := balance.Settings{OverShareWorth: t.OverShare, Me: t.Me, Peers: t.Balancers, Zone: t.Zone, Tick: t.Tick,
 		Shards: t.Domain.Slices, Cells: t.Domain.Sets, Reach: t.Domain.Width, PerCall: t.Domain.PerCall,
 		CallCost: t.Domain.CallCost, MustAsk: t.Discovery == "on_request", AskWithin: t.Rules.AskWithin,
-		Cancel: t.Limits.Cancel, SecondCopies: t.Limits.Parallel, PeerMessages: t.Limits.Peers,
+		Cancel: t.Limits.Cancel, SecondCopies: t.Limits.Parallel,
 		MaxAttempts: t.Limits.Tries,
 		DrainGrace:  t.Rules.Grace, ColdFrom: t.Rules.ColdFrom, ColdFor: t.Rules.WarmIn,
 		FallMultiple: t.Rules.FallTimes, FallFor: t.Rules.FallFor, BudgetFree: t.Rules.Spare,
