--- a/balance/balance.go
+++ b/balance/balance.go
@@ -627,9 +627,14 @@
 	return 1 + decay(b.ways[zone], now, fadeMost)
 }
 
-// learnWay takes a latency by the usual one.
-func (b *Balancer) learnWay(now float64, zone int, x float64) {
-	level := b.wayOf(now, zone)
+// learnWay takes a latency by the usual one. A slow replica counts once until it answers as its zone does: what
+// comes late out of one that stood still says nothing of the others there.
+func (b *Balancer) learnWay(now float64, r *replica, x float64) {
+	level, zone := b.wayOf(now, r.Zone), r.Zone
+	if r.slow && x > level {
+		return
+	}
+	r.slow = x > slowWay*level
 	b.ways[zone] = stamp{now, max(0, level*(1+math.Copysign(fleetStep, x-level))-1)}
 	b.bestWay = math.Inf(1)
 	for z := range b.ways {
@@ -700,7 +705,7 @@
 		b.callTime = (1-meanGain)*cmp.Or(b.callTime, whole) + meanGain*whole
 		b.hold = min(max(holdAim*b.leastAim/b.callTime, holdLeast), holdMost)
 		observe(x / b.usual)
-		b.learnWay(now, r.Zone, x/b.usual)
+		b.learnWay(now, r, x/b.usual)
 		b.tried(now, a, x/b.usual)
 		b.fleet = max(1, b.fleet*(1+math.Copysign(fleetStep, x-b.fleet*b.usual)))
 		// The parts of a long query come back sorted: they move the median that tells overload as a few would.
@@ -743,7 +748,7 @@
 			r.room, r.cutAt = 1, now // guards against a crowd at a hung replica each time its bad level has faded
 		}
 		if x > b.wayOf(now, r.Zone) {
-			b.learnWay(now, r.Zone, x)
+			b.learnWay(now, r, x)
 		}
 		return
 	case ConnectFailed, Reset:
@@ -825,7 +830,7 @@
 			late := now-a.sent > hedgeAfter*b.fleet*b.expect(a)
 			if late && !a.late {
 				a.late = true // a lost or slow way shows in what is late before anything comes back
-				b.learnWay(now, a.r.Zone, (now-a.sent)/b.expect(a))
+				b.learnWay(now, a.r, (now-a.sent)/b.expect(a))
 			}
 			due := late && now-q.arrived > hedgeAim*q.class.Aim
 			a.copied = due && (b.standIn(now, q) || b.again(now, p, true) || b.move(now, p, a))
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1821,6 +1821,24 @@
 	}
 }
 
+// One replica that stood still brings many late parts back at once: they say nothing of the others in its zone.
+func TestAStallIsNoSlowWay(t *testing.T) {
+	g := newRig(t, settings())
+	g.fleet(ListFull)
+	g.warm()
+	r := g.b.replicas[3]
+	for range 40 {
+		g.b.learnWay(g.now, r, 30)
+	}
+	if way := g.b.wayOf(g.now, r.Zone); way > 1.2 || !r.slow {
+		t.Fatalf("40 parts out of one stall make the way %v", way)
+	}
+	g.b.learnWay(g.now, r, 1)
+	if r.slow {
+		t.Fatal("an answer as usual leaves it slow")
+	}
+}
+
 // A zone that goes silent shows in what is late there, long before a time-out tells of it.
 func TestSilentZoneIsLeftBeforeAnyTimeOut(t *testing.T) {
 	s := settings()
--- a/balance/state.go
+++ b/balance/state.go
@@ -125,6 +125,7 @@
 	used        float64 // when our connection to it last carried something; 0 if there is none
 	badAt       float64 // when an answer last came back that made it a suspect
 	trialAt     float64 // from then on one part may go there though it is one
+	slow        bool    // it has been slow, and has not answered as its zone does since
 	trials      int     // how many were slow in a row, above 0 while it is
 	idleHung    bool    // a part on an idle connection has hung there, and nothing has come back since
 	out         []*attempt
