--- a/balance/balance.go
+++ b/balance/balance.go
@@ -627,8 +627,8 @@
 	return 1 + decay(b.ways[zone], now, fadeMost)
 }
 
-// learnWay takes a latency by the usual one. A slow replica counts once until it answers as its zone does: what
-// comes late out of one that stood still says nothing of the others there.
+// learnWay takes a latency by the usual one. A slow replica counts once until it answers as its zone does:
+// what comes late out of one that stood still says nothing of the others there.
 func (b *Balancer) learnWay(now float64, r *replica, x float64) {
 	level, zone := b.wayOf(now, r.Zone), r.Zone
 	if r.slow && x > level {
