--- a/balance/balance.go
+++ b/balance/balance.go
@@ -254,7 +254,7 @@
 	delete(b.out, key)
 	p, r := a.part, a.r
 	a.ended, a.end, a.outcome = true, now, res.Outcome
-	defer func() { r.load -= p.cost; b.load -= p.cost }()
+	defer func() { r.load -= a.weight; b.load -= p.cost }()
 	r.out = slices.DeleteFunc(r.out, func(x *attempt) bool { return x == a })
 	if a.call.left--; a.call.left == 0 {
 		r.calls--
@@ -712,7 +712,9 @@
 		step := fleetStep * min(1, fleetParts/float64(len(a.part.q.parts)+1))
 		b.median = max(1, b.median*(1+math.Copysign(step, x-b.median*b.usual)))
 		for _, o := range r.out {
-			o.passed = o.passed || o.sent < a.sent // guards against one lost message blocking a sound replica
+			if o.sent < a.sent { // guards against one lost message blocking a sound replica, or its room
+				o.passed, r.load, o.weight = true, r.load-o.weight, 0
+			}
 		}
 		if r.lost {
 			// It lost its connections and serves again: perhaps a new, cold process, of which the list is late.
@@ -970,7 +972,7 @@
 	}
 	c.left, c.size, c.cost = c.left+1, c.size+1, c.cost+p.cost
 	a := &attempt{part: p, no: len(p.attempts), r: r, call: c, sent: now, load: r.load + p.cost,
-		idle: idle}
+		weight: p.cost, idle: idle}
 	p.queued, r.load, b.load = false, a.load, b.load+p.cost
 	p.attempts, r.out, p.live = append(p.attempts, a), append(r.out, a), p.live+1
 	b.out[[2]uint64{p.ID, uint64(a.no)}] = a
--- a/balance/hard_test.go
+++ b/balance/hard_test.go
@@ -60,3 +60,24 @@
 		}
 	}
 }
+
+// A part that others have overtaken is stuck by itself: it takes no room of its replica, whose next part then shows
+// whether the replica stands.
+func TestWhatIsPassedTakesNoRoom(t *testing.T) {
+	g := newRig(t, settings())
+	g.fleet(ListFull)
+	g.warm()
+	r := g.b.replicas[3]
+	stuck := &attempt{part: &part{cost: 2}, r: r, call: &callOut{left: 1, cost: 2}, sent: g.now - 50, weight: 2}
+	next := &attempt{part: &part{q: &query{class: &g.s.Classes[0]}, cost: 1}, r: r, call: &callOut{left: 1, cost: 1},
+		sent: g.now - 10, weight: 1}
+	r.out, r.load = []*attempt{stuck, next}, 3
+	g.b.learn(g.now, next, Result{Outcome: OK, Latency: 60})
+	if r.load != 1 || !stuck.passed || stuck.weight != 0 {
+		t.Fatalf("load %v, passed %v", r.load, stuck.passed)
+	}
+	g.b.learn(g.now, next, Result{Outcome: OK, Latency: 60})
+	if r.load != 1 {
+		t.Fatalf("it is taken off twice: load %v", r.load)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -59,6 +59,7 @@
 	call    *callOut
 	sent    float64
 	load    float64 // our cost out at the replica with it
+	weight  float64 // its part of that; 0 once it has been passed
 	ended   bool
 	end     float64 // when that was told
 	passed  bool    // a part sent later has come back: it is stuck by itself, not with its replica
--- a/experiments/experiments.go
+++ b/experiments/experiments.go
@@ -7,3 +7,8 @@
 //
 //go:embed up.jsonnet
 var Up string
+
+// Zones is the deployment of several zones whose list is pushed; tests play it with scripts of their own.
+//
+//go:embed zones.jsonnet
+var Zones string
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -89,7 +89,9 @@
 	// Later, if set, is asked to look once more in a moment at what seems to be out twice: live, the word
 	// that one attempt is given up and the next attempt come over two connections, and threads read them.
 	Later func(look func())
-	told  map[[2]string]float64 // broker and node: when it was told that the node drains
+	// Copies allows a second attempt of what may be repeated to be out, and no more than two.
+	Copies bool
+	told   map[[2]string]float64 // broker and node: when it was told that the node drains
 }
 
 // New makes a checker.
@@ -207,10 +209,15 @@
 
 // Came notes that an attempt has reached a node: another of the same districts must not be out.
 func (c *Checker) Came(id string, r slicemap.Range) {
+	twice := 0
 	for _, o := range c.out[id] {
 		if !o.Meets(r) {
 			continue
 		}
+		if a := c.asks[id]; c.Copies && twice == 0 && a != nil && !a.Once {
+			twice++
+			continue
+		}
 		if c.Later == nil {
 			c.breach(&c.Overlaps, "%s: districts %v came while %v were out", id, r, o)
 			continue
@@ -274,6 +281,15 @@
 // Untold notes that a broker was told that the node serves.
 func (c *Checker) Untold(broker, node string) { delete(c.told, [2]string{broker, node}) }
 
+// Restarted notes that a broker's process is a new one: what was told to the last one counts as told from now.
+func (c *Checker) Restarted(now float64, broker string) {
+	for k := range c.told {
+		if k[0] == broker {
+			c.told[k] = now
+		}
+	}
+}
+
 // Sent notes that a broker began to send new work to a node.
 func (c *Checker) Sent(now float64, broker, node string) {
 	if at, ok := c.told[[2]string{broker, node}]; ok && now > at+drainMost {
--- a/internal/lab/exp/exp.go
+++ b/internal/lab/exp/exp.go
@@ -60,6 +60,11 @@
 	Retries   int     `json:"retries"`
 	History   int     `json:"history"` // retired slices that a broker remembers; 0: as many as the product
 	Client    Span    `json:"client_news_ms"`
+	Zones     int     `json:"zones"`  // nodes and brokers stand in so many, in turn
+	Cross     Span    `json:"cross"`  // ms one way between them
+	Copies    bool    `json:"copies"` // a second copy may be out while the first runs, where a repeat is safe
+	Pushed    bool    `json:"pushed"` // the list is pushed to an agent beside each broker
+	Script    []Event `json:"script"` // what goes wrong when, besides what is drawn
 	Classes   []Class `json:"classes"`
 	Node      struct {
 		Cores        int     `json:"cores"`
@@ -68,6 +73,8 @@
 		Warm         float64 `json:"warm"`
 		FallMultiple float64 `json:"fall_multiple"`
 		FallFor      float64 `json:"fall_for"`
+		Pause        Span    `json:"pause"` // how long each stands still by itself; 0: never
+		PauseEvery   Span    `json:"pause_every"`
 	} `json:"node"`
 	Changes struct {
 		Every    float64 `json:"every"` // 0: none
@@ -98,6 +105,14 @@
 	Expect map[string]Bound `json:"expect"`
 }
 
+// Event is a trouble at a stated time.
+type Event struct {
+	At   float64 `json:"at"`
+	For  float64 `json:"for"`
+	Kind string  `json:"kind"`
+	On   int     `json:"on"` // the node, the zone of zone_cut, the broker of broker and silent
+}
+
 // Bound is what a figure of the summary must keep.
 type Bound struct {
 	Min *float64 `json:"min"`
@@ -123,6 +138,15 @@
 	if e.Reach > e.Nodes {
 		return nil, fmt.Errorf("%s: reach: %d holders of %d nodes", path, e.Reach, e.Nodes)
 	}
+	for i, v := range e.Script {
+		most := map[string]int{"zone_cut": e.Zones, "broker": e.Brokers, "silent": e.Brokers}[v.Kind]
+		if most == 0 {
+			most = e.Nodes
+		}
+		if v.On < 0 || v.On >= most {
+			return nil, fmt.Errorf("%s: script[%d]: %s on %d of %d", path, i, v.Kind, v.On, most)
+		}
+	}
 	for i, c := range e.Classes {
 		if int(c.Parts[0]) < 1 || c.Parts[1] < c.Parts[0] || int(c.Parts[1]) > e.Slices || c.Deadline < c.Aim {
 			return nil, fmt.Errorf("%s: classes[%d]: parts %v of %d slices, aim %v, deadline %v", path, i, c.Parts,
@@ -161,6 +185,9 @@
 	set(&e.News.Node, Span{2, 150})
 	set(&e.News.Catalogue, Span{2, 150})
 	set(&e.Troubles.For, Span{2000, 6000})
+	set(&e.Zones, 1)
+	set(&e.Cross, Span{0.4, 0.8})
+	set(&e.Node.PauseEvery, Span{4900, 8700})
 	for i := range e.Classes {
 		set(&e.Classes[i].Worth, 1)
 		set(&e.Classes[i].Floor, 1)
@@ -176,7 +203,8 @@
 // Settings are what a broker's module is told.
 func (e *Experiment) Settings(me int, layout balance.Layout) balance.Settings {
 	s := balance.Settings{Me: me, Peers: e.Brokers, Tick: 5, Shards: e.Slices, Cells: e.Nodes, Reach: e.Reach,
-		Layout: layout, PerCall: 1, MustAsk: true, AskWithin: 10_000, Cancel: true, MaxAttempts: e.Tries,
+		Zone: e.ZoneOf(me), SecondCopies: e.Copies,
+		Layout: layout, PerCall: 1, MustAsk: !e.Pushed, AskWithin: 10_000, Cancel: true, MaxAttempts: e.Tries,
 		MaxRetryAfter: 1000, DrainGrace: 1000, ColdFrom: e.Node.ColdFrom, ColdFor: e.Node.Warm,
 		FallMultiple: e.Node.FallMultiple, FallFor: e.Node.FallFor, AnswerGrace: 20}
 	for _, c := range e.Classes {
@@ -191,6 +219,9 @@
 	return s
 }
 
+// ZoneOf is the zone of the node or broker of that number.
+func (e *Experiment) ZoneOf(i int) int { return i % e.Zones }
+
 // NodeID is the name of a node.
 func NodeID(i int) string { return fmt.Sprintf("node-%d", i) }
 
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -26,13 +26,16 @@
 	gen    int // of its process
 	taking int
 	busy   bool // in trouble
-	wire   wire // live: its sockets
+	zone   int
+	stands float64 // until when it stands still
+	wire   wire    // live: its sockets
 }
 
 // wire is a live node's listener and connections.
 type wire interface {
 	down() // they end, as with their process
 	back()
+	restored() // the way from other zones is there again
 }
 
 // listNews is one line of news of the list.
@@ -61,13 +64,15 @@
 	next    slicemap.ID
 	changes int
 	pace    slicemap.Pace
+	cut     int        // the zone that is cut off from the others, -1 for none
+	silent  []float64  // by broker: until when its agent is silent
 	rnd     *rand.Rand // of changes, so that days with and without them have the same troubles
 }
 
 func newFleet(s *World, seed uint64) *fleet {
 	f := &fleet{sim: s, byName: map[string]uint32{},
 		truth: slicemap.New(slicemap.Options{History: s.e.History}), next: s.e.Slices,
-		rnd:  rand.New(rand.NewPCG(seed, 4)),
+		rnd: rand.New(rand.NewPCG(seed, 4)), cut: -1, silent: make([]float64, s.e.Brokers),
 		pace: slicemap.Pace{AtOnce: 2, ColdFrom: s.e.Node.ColdFrom, Warm: s.e.Node.Warm}}
 	if _, err := f.truth.Reset(s.e.Map()); err != nil {
 		panic(err) // the experiment's own first map
@@ -76,7 +81,7 @@
 	for i := range s.e.Nodes {
 		id := exp.NodeID(i)
 		f.byName[id] = uint32(i + 1)
-		f.nodes = append(f.nodes, &node{sim: s, index: i, number: uint32(i + 1), state: balance.Ready,
+		f.nodes = append(f.nodes, &node{sim: s, index: i, number: uint32(i + 1), zone: s.e.ZoneOf(i), state: balance.Ready,
 			Node: model.New(id, s.e.NodeOptions(), f.truth.Current(), seed*1009+uint64(i))})
 	}
 	return f
@@ -90,6 +95,14 @@
 	if s.e.Troubles.Every > 0 && len(s.e.Troubles.Kinds) > 0 {
 		s.at(s.now+3000, f.trouble)
 	}
+	for _, v := range s.e.Script {
+		s.at(s.now+v.At, func() { f.strike(v.Kind, v.On, v.For) })
+	}
+	if s.e.Node.Pause[1] > 0 {
+		for _, n := range f.nodes {
+			s.at(s.now+s.e.Node.PauseEvery[1]*s.world.Float64(), n.pauses)
+		}
+	}
 }
 
 // seen is the map as it could be read from the catalogue at a time: while that is down, as it was before.
@@ -390,25 +403,51 @@
 
 // begun notes that a node has begun a part that ends at done.
 func (n *node) begun(j *model.Job, done float64) {
-	s, gen := n.sim, n.gen
-	s.check.Ran(n.ID, j.Query, j.Districts, j.Once, n.truly(j))
-	s.at(done, func() {
-		if gen != n.gen {
-			return
-		}
-		end, moved, next, then := n.Finish(s.now, j)
-		for _, m := range moved {
-			m.Context.(answerer).answer(model.Moved)
-		}
-		if end != model.None {
-			j.Context.(answerer).answer(end)
-		}
-		if next != nil {
-			n.begun(next, then)
+	n.sim.check.Ran(n.ID, j.Query, j.Districts, j.Once, n.truly(j))
+	n.ends(j, done, n.gen)
+}
+
+// ends has a part end at a time, or when the node goes on if it stands still then; never if its process ends.
+func (n *node) ends(j *model.Job, at float64, gen int) {
+	s := n.sim
+	s.at(at, func() {
+		switch {
+		case gen != n.gen:
+		case n.stands > s.now:
+			n.ends(j, n.stands, gen)
+		default:
+			n.end(j)
 		}
 	})
 }
 
+// end ends a part; of those that wait the next one begins.
+func (n *node) end(j *model.Job) {
+	end, moved, next, then := n.Finish(n.sim.now, j)
+	for _, m := range moved {
+		m.Context.(answerer).answer(model.Moved)
+	}
+	if end != model.None {
+		j.Context.(answerer).answer(end)
+	}
+	if next != nil {
+		n.begun(next, then)
+	}
+}
+
+// pauses lets a node stand still by itself, again and again.
+func (n *node) pauses() {
+	s := n.sim
+	if s.now >= s.end {
+		return
+	}
+	n.stands = max(n.stands, s.now+s.e.Node.Pause.Draw(s.world))
+	s.at(s.now+s.e.Node.PauseEvery.Draw(s.world), n.pauses)
+}
+
+// reach tells whether anything gets from one zone to another.
+func (f *fleet) reach(a, b int) bool { return f.cut < 0 || a == b || a != f.cut && b != f.cut }
+
 // truly tells whether the node held a part's districts at its epoch, by the truth and not by its own word.
 func (n *node) truly(j *model.Job) bool {
 	s := n.sim
@@ -464,9 +503,22 @@
 	}
 	s.at(s.now+s.e.Troubles.Every*(0.5+s.world.Float64()), f.trouble)
 	kind := s.e.Troubles.Kinds[s.world.IntN(len(s.e.Troubles.Kinds))]
-	n, long := f.nodes[s.world.IntN(len(f.nodes))], s.e.Troubles.For.Draw(s.world)
-	if kind == "broker" {
-		b := s.brokers[s.world.IntN(len(s.brokers))]
+	on := s.world.IntN(len(f.nodes))
+	switch kind {
+	case "broker", "silent":
+		on = s.world.IntN(len(s.brokers))
+	case "zone_cut":
+		on = s.world.IntN(s.e.Zones)
+	}
+	f.strike(kind, on, s.e.Troubles.For.Draw(s.world))
+}
+
+// strike lets something go wrong at a node, a zone or a broker, unless too much is wrong already.
+func (f *fleet) strike(kind string, on int, long float64) {
+	s := f.sim
+	switch kind {
+	case "broker":
+		b := s.brokers[on]
 		if len(s.brokers) < 2 || slices.ContainsFunc(s.brokers, func(x broker) bool { return !x.up() }) {
 			return
 		}
@@ -474,14 +526,33 @@
 		old := f.seen(s.now - 4000) // it comes back with a map that it kept
 		s.at(s.now+min(long, 2000), func() { b.start(old) })
 		return
+	case "silent":
+		if s.e.Pushed {
+			f.silent[on] = max(f.silent[on], s.now+long)
+		}
+		return
+	case "zone_cut":
+		if f.cut >= 0 || s.e.Zones < 2 {
+			return
+		}
+		f.cut = on
+		s.at(s.now+long, func() {
+			f.cut = -1
+			for _, n := range f.nodes {
+				if n.wire != nil && n.state != balance.Gone {
+					n.wire.restored()
+				}
+			}
+		})
+		return
 	}
-	busy := 0
+	n, busy := f.nodes[on], 0
 	for _, x := range f.nodes {
 		if x.busy {
 			busy++
 		}
 	}
-	if n.busy || n.Cold(s.now) || n.Fallen || busy > len(f.nodes)/6 {
+	if n.busy || n.Cold(s.now) || n.Fallen || busy > max(1, len(f.nodes)/6) {
 		return
 	}
 	n.busy = true
@@ -492,6 +563,21 @@
 		}
 	}
 	switch kind {
+	case "stand":
+		until := s.now + long
+		var again func()
+		again = func() {
+			if s.now >= until {
+				n.busy = false
+				return
+			}
+			n.stands = max(n.stands, s.now+200+300*s.world.Float64())
+			s.at(s.now+1000+2000*s.world.Float64(), again)
+		}
+		again()
+	case "vanish":
+		n.Trouble = model.Hang // it says nothing, and nobody knows
+		s.at(s.now+long, func() { f.die(n); f.back(n); n.busy = false })
 	case "down":
 		f.die(n)
 		s.at(s.now+long, func() { f.back(n); n.busy = false })
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"ternstage/internal/core"
+	"ternstage/internal/discovery"
 	"ternstage/internal/lab/exp"
 	"ternstage/internal/lab/result"
 	"ternstage/internal/slicemap"
@@ -28,7 +29,7 @@
 	liveTail  = 2500.0 // ms after the last arrival: longer than a class's deadline
 	lookAgain = 50.0   // ms after which what seems to be out twice must not be
 	memoryMB  = 192
-	sockets   = 1024
+	filesMost = 1024
 )
 
 // LiveOptions say how an experiment is played live.
@@ -166,6 +167,7 @@
 	healthy   bool
 	client    client
 	log       *os.File
+	known     *discovery.List
 }
 
 func newProcess(s *World, i int) (*process, error) {
@@ -210,6 +212,11 @@
 	if s.stopped {
 		return
 	}
+	s.check.Restarted(s.now, b.name)
+	if b.known == nil { // it comes back with the list that it began with
+		known := b.discovery.list(0, true)
+		b.known = &known
+	}
 	cmd := exec.Command(s.live.o.Binary, "serve")
 	config, operator, err := b.files()
 	if err == nil {
@@ -357,12 +364,20 @@
 		least, need, partial = append(least, c.Floor), append(need, 1), append(partial, c.Partial)
 		fetch = append(fetch, 0)
 	}
+	mode, zones := "on_request", []string{}
+	if e.Pushed {
+		mode = "pushed"
+	}
+	for i := range e.Zones {
+		zones = append(zones, zoneName(i))
+	}
 	return map[string]any{"name": b.name, "listen": b.addr, "discovery": b.discovery.addr,
 		"seed":   fmt.Sprintf("%016x", b.world.seed+uint64(b.index)*7919+uint64(b.gen)),
-		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": sockets},
-		"known":  b.discovery.list(0, true),
-		"settings": map[string]any{"areas": []string{"here"}, "balancers": e.Brokers, "me": b.index, "zone": 0,
-			"resolution_ms": 5, "callers": map[string]any{"marks_retry": true}, "discovery": "on_request",
+		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": filesMost},
+		"known":  b.known,
+		"settings": map[string]any{"areas": zones, "balancers": e.Brokers, "me": b.index,
+			"zone":          e.ZoneOf(b.index),
+			"resolution_ms": 5, "callers": map[string]any{"marks_retry": true}, "discovery": mode,
 			"categories": classes, "customers": []any{},
 			"domain": map[string]any{"per_call": 1, "sets": e.Nodes, "slices": e.Slices, "width": e.Reach,
 				"complete_from": need, "fetch_parts": fetch, "incomplete_worth": partial, "min_share": least},
@@ -370,6 +385,6 @@
 				"fall_ms": e.Node.FallFor, "fall_multiple": e.Node.FallMultiple, "grace_to_answer_ms": 20,
 				"warm_within_ms": e.Node.Warm},
 			"limits": map[string]any{"cancel": true, "dial_timeout_ms": 250, "keepalive_ms": 30000, "max_open": 4000,
-				"max_retry_after_ms": 1000, "multiplex": 32, "parallel_tries": false, "retry_after": true,
+				"max_retry_after_ms": 1000, "multiplex": 32, "parallel_tries": e.Copies, "retry_after": true,
 				"try_limit": e.Tries}}}
 }
--- a/internal/lab/world/servers.go
+++ b/internal/lab/world/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -38,6 +39,18 @@
 
 // told makes news visible and wakes who waits for it.
 func (d *discoveryServer) told(upTo int) {
+	s := d.world
+	if until := s.fleet.silent[d.b.index]; s.e.Pushed && until > s.now { // nothing reaches it either
+		s.at(until, func() { d.told(upTo) })
+		return
+	}
+	if s.e.Pushed && d.visible < upTo { // what an agent has counts as told
+		for _, n := range s.fleet.news[d.visible:upTo] {
+			if n.state != balance.Ready {
+				s.check.Told(s.now, d.b.name, n.node.ID)
+			}
+		}
+	}
 	d.visible = max(d.visible, upTo)
 	waiting := d.waiting
 	d.waiting = nil
@@ -60,10 +73,14 @@
 		if !changed {
 			x = listNews{n, balance.Ready, 0}
 		}
+		if s.Fault.IgnoreDrain {
+			x.state = balance.Ready
+		}
 		if !whole && !changed || whole && x.state == balance.Gone {
 			continue
 		}
-		m := discovery.Member{ID: n.ID, Address: n.wire.(*socket).addr, Locality: "here", Cell: n.index, Size: 1,
+		m := discovery.Member{ID: n.ID, Address: n.wire.(sockets)[s.e.ZoneOf(d.b.index)].addr,
+			Locality: zoneName(n.zone), Cell: n.index, Size: 1,
 			Phase: map[balance.State]string{balance.Ready: "SERVING", balance.Draining: "DRAINING",
 				balance.Gone: "DELETED"}[x.state]}
 		if x.started > 0 {
@@ -98,7 +115,10 @@
 			}
 			answer <- l
 		}
-		if whole || index < firstRevision+d.visible {
+		if s.e.Pushed && s.fleet.silent[d.b.index] > s.now {
+			return // the call is never answered
+		}
+		if whole || index < firstRevision+d.visible || s.e.Pushed {
 			reply()
 			return
 		}
@@ -116,6 +136,9 @@
 	}
 }
 
+// zoneName is a zone as lists and settings call it.
+func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
+
 func writeJSON(w http.ResponseWriter, v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
@@ -186,10 +209,12 @@
 		_ = ln.Close()
 	}()
 	for _, n := range s.fleet.nodes {
-		n.wire = newSocket(n)
+		n.wire = newSockets(n)
 		n.wire.back()
-		if n.wire.(*socket).addr == "" {
-			return errListen
+		for _, k := range n.wire.(sockets) {
+			if k.addr == "" {
+				return errListen
+			}
 		}
 	}
 	return nil
--- a/internal/lab/world/sockets.go
+++ b/internal/lab/world/sockets.go
@@ -37,10 +37,12 @@
 	writeMost  = 2 * time.Second
 )
 
-// socket is a node's listener. It implements wire.
+// socket is a node's listener for the brokers of a zone.
 type socket struct {
 	node   *node
+	from   int // the zone from which brokers come to it
 	addr   string
+	lost   bool                  // something was lost here, as the way is cut; the world's goroutine's
 	landed map[*landing]struct{} // parts that are out here; the world's goroutine's
 
 	mu    sync.Mutex
@@ -49,7 +51,45 @@
 	grpc  *grpc.Server
 }
 
-func newSocket(n *node) *socket { return &socket{node: n, landed: map[*landing]struct{}{}} }
+// sockets are a node's listeners, one for the brokers of each zone. It implements wire.
+type sockets []*socket
+
+func newSockets(n *node) (k sockets) {
+	for from := range n.sim.e.Zones {
+		k = append(k, &socket{node: n, from: from, landed: map[*landing]struct{}{}})
+	}
+	return k
+}
+
+func (k sockets) down() {
+	for _, x := range k {
+		x.down()
+	}
+}
+
+func (k sockets) back() {
+	for _, x := range k {
+		x.back()
+	}
+}
+
+// restored resets what was open over a way that had been cut.
+func (k sockets) restored() {
+	for _, x := range k {
+		if x.lost {
+			x.lost = false
+			x.down()
+			x.back()
+		}
+	}
+}
+
+// cut tells that nothing gets through now, and remembers that something would have.
+func (k *socket) cut() bool {
+	cut := !k.node.sim.fleet.reach(k.from, k.node.zone)
+	k.lost = k.lost || cut
+	return cut
+}
 
 // back listens, at the same address as before.
 func (k *socket) back() {
@@ -117,6 +157,7 @@
 
 // landing is a part that has reached a live node. It implements answerer.
 type landing struct {
+	k     *socket
 	node  *node
 	id    string // the part's
 	job   *model.Job
@@ -125,18 +166,18 @@
 }
 
 // land takes a part from a wire, on the world's goroutine.
-func (n *node) land(id, query string, r slicemap.Range, epoch uint64,
+func (k *socket) land(id, query string, r slicemap.Range, epoch uint64,
 	reply func(model.End, uint64)) *landing {
-	s := n.sim
+	n, s := k.node, k.node.sim
 	q := s.queries[query]
-	if q == nil || n.Trouble == model.Down || n.Fallen {
+	if q == nil || n.Trouble == model.Down || n.Fallen || k.cut() {
 		return nil
 	}
-	l := &landing{node: n, id: id, out: true, reply: reply}
+	l := &landing{k: k, node: n, id: id, out: true, reply: reply}
 	l.job = &model.Job{Query: query, Class: q.ask.Class, Once: q.ask.Once, Districts: r, Epoch: epoch,
 		Work: q.workOf(r), Context: l}
 	s.check.Sent(s.now, q.b.id(), n.ID)
-	n.wire.(*socket).landed[l] = struct{}{}
+	k.landed[l] = struct{}{}
 	n.arrive(l.job)
 	return l
 }
@@ -144,8 +185,9 @@
 // answer implements answerer.
 func (l *landing) answer(end model.End) {
 	if l.out {
-		l.leave()
-		l.reply(end, l.node.Epoch())
+		if l.leave(); !l.k.cut() {
+			l.reply(end, l.node.Epoch())
+		}
 	}
 }
 
@@ -153,7 +195,7 @@
 func (l *landing) leave() {
 	if l != nil && l.out {
 		l.out = false
-		delete(l.node.wire.(*socket).landed, l)
+		delete(l.k.landed, l)
 		l.node.sim.check.Gone(l.job.Query, l.job.Districts)
 	}
 }
@@ -228,7 +270,7 @@
 				id := f[0]
 				query, _, _ := strings.Cut(id, ".")
 				s.live.post(func() {
-					l := k.node.land(id, query, districts, epoch, func(end model.End, epoch uint64) {
+					l := k.land(id, query, districts, epoch, func(end model.End, epoch uint64) {
 						delete(landed, id)
 						select {
 						case out <- frameAnswer(id, end, epoch, model.Value(query, districts)):
@@ -303,7 +345,7 @@
 	answer := make(chan ended, 1)
 	var l *landing // the world's goroutine's
 	s.live.post(func() {
-		l = n.land(q.ID, query, r, q.E, func(end model.End, epoch uint64) { answer <- ended{end, epoch} })
+		l = f.k.land(q.ID, query, r, q.E, func(end model.End, epoch uint64) { answer <- ended{end, epoch} })
 	})
 	select {
 	case a := <-answer:
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -10,6 +10,7 @@
 	"ternstage/internal/lab/exp"
 	"ternstage/internal/lab/model"
 	"ternstage/internal/lab/result"
+	"ternstage/internal/membership"
 	"ternstage/internal/slicemap"
 )
 
@@ -33,6 +34,10 @@
 	call   int     // the call to the catalogue that counts
 	due    float64 // when follow is asked next
 	listed map[uint32]bool
+	zone   int
+
+	reader *membership.Reader // of the list, where it is pushed to an agent
+	agent  int                // news that the agent has
 
 	moves core.Moves // of processes that are gone
 	stats slicemap.Stats
@@ -52,13 +57,14 @@
 }
 
 func newVirtual(s *World, i int) *virtual {
-	return &virtual{sim: s, index: i, name: fmt.Sprintf("broker-%d", i), seed: s.seed + uint64(i)*7919,
+	return &virtual{sim: s, index: i, zone: s.e.ZoneOf(i), name: fmt.Sprintf("broker-%d", i), seed: s.seed + uint64(i)*7919,
 		wake: math.Inf(1), due: math.Inf(1)}
 }
 
 // start starts its process, with a map that it kept if there is one.
 func (b *virtual) start(cached *slicemap.Version) {
 	s := b.sim
+	s.check.Restarted(s.now, b.name)
 	b.listed = map[uint32]bool{}
 	b.m = slicemap.New(slicemap.Options{History: s.e.History, Number: func(name string) (uint32, bool) {
 		n := s.fleet.byName[name]
@@ -73,7 +79,12 @@
 	b.core.Attach(b, b)
 	b.wake, b.seen, b.due = math.Inf(1), 0, math.Inf(1)
 	b.follow = slicemap.NewFollow(slicemap.DefaultFollow, b.seed+uint64(b.gen))
-	b.Watch()
+	if s.e.Pushed {
+		b.reader = membership.NewReader(membership.Options{Pushed: true, DrainGrace: drainGrace})
+		b.read(b.gen)
+	} else {
+		b.Watch()
+	}
 	if cached != nil {
 		_ = b.core.TakeMap(wholeOf(cached, s.fleet.retiredBefore(cached)))
 	}
@@ -233,8 +244,80 @@
 	return balance.Entry{Replica: n.number, Cell: n.index, ReadyAt: started, State: state}
 }
 
+// drainGrace is the rule's, in ms, as Settings state it.
+const drainGrace = 1000.0
+
+// read makes the next call to the agent: it answers at once with what it has, or is silent.
+func (b *virtual) read(gen int) {
+	s := b.sim
+	if b.core == nil || gen != b.gen {
+		return
+	}
+	c := b.reader.Begin(s.now)
+	if s.fleet.silent[b.index] > s.now {
+		s.at(s.now+c.Patience, func() {
+			if b.core != nil && gen == b.gen {
+				s.at(b.reader.Failed(s.now).At, func() { b.read(gen) })
+			}
+		})
+		return
+	}
+	s.at(s.now+2*netLeast, func() {
+		if b.core == nil || gen != b.gen {
+			return
+		}
+		n := b.reader.Answered(s.now, membership.Answer{Complete: c.Whole, Revision: uint64(firstRevision + b.agent),
+			Members: len(s.fleet.nodes)})
+		if n.Take {
+			b.bring(c.Whole)
+		}
+		s.at(n.At, func() { b.read(gen) })
+	})
+}
+
+// bring gives the module what the agent has: the whole list, or what is new.
+func (b *virtual) bring(whole bool) {
+	s, kind := b.sim, balance.ListDelta
+	var es []balance.Entry
+	if whole {
+		kind = balance.ListFull
+		for _, n := range s.fleet.nodes {
+			x := listNews{node: n, state: balance.Ready}
+			for _, news := range s.fleet.news[:b.agent] {
+				if news.node == n {
+					x = news
+				}
+			}
+			es = append(es, b.entry(n, x.state))
+		}
+	} else {
+		for _, n := range s.fleet.news[b.seen:b.agent] {
+			es = append(es, b.entry(n.node, n.state))
+		}
+	}
+	if b.seen = b.agent; whole || len(es) > 0 {
+		b.core.ListChanged(kind, es)
+		b.touch()
+	}
+}
+
 // told takes news of the list up to a place in it.
 func (b *virtual) told(upTo int) {
+	if s := b.sim; s.e.Pushed && b.agent < upTo {
+		if until := s.fleet.silent[b.index]; until > s.now { // nothing reaches an agent while discovery is down
+			s.at(until, func() { b.told(upTo) })
+			return
+		}
+		for _, n := range s.fleet.news[b.agent:upTo] { // what the agent has counts as told
+			if n.state != balance.Ready {
+				s.check.Told(s.now, b.name, n.node.ID)
+			}
+		}
+		b.agent = upTo
+	}
+	if b.sim.e.Pushed {
+		return
+	}
 	if b.core == nil || b.seen >= upTo || len(b.listed) == 0 {
 		return
 	}
@@ -361,13 +444,16 @@
 	s := f.b.sim
 	s.check.Sent(s.now, f.b.name, f.node.ID)
 	f.b.out = append(f.b.out, f)
-	f.comes = s.now + s.hop()
+	f.comes = s.now + s.way(f.b.zone, f.node.zone)
 	s.at(f.comes, f.arrive)
 }
 
 func (f *sending) arrive() {
 	s, n := f.b.sim, f.node
 	q := s.queries[f.a.Request]
+	if !s.fleet.reach(f.b.zone, n.zone) {
+		return // it is lost, and nobody says so
+	}
 	if n.Trouble == model.Down || n.Fallen || q == nil {
 		f.ends(balance.ConnectFailed, nil)
 		return
@@ -401,7 +487,10 @@
 // ends brings its outcome to the broker.
 func (f *sending) ends(o balance.Outcome, value []byte) {
 	s := f.b.sim
-	s.at(s.now+s.hop(), func() {
+	s.at(s.now+s.way(f.node.zone, f.b.zone), func() {
+		if !s.fleet.reach(f.b.zone, f.node.zone) {
+			return
+		}
 		if f.over || f.gen != f.b.gen || f.b.core == nil {
 			return
 		}
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -114,6 +114,7 @@
 	s := &World{e: e, now: origin, load: rand.New(rand.NewPCG(seed, 1)), net: rand.New(rand.NewPCG(seed, 2)),
 		world: rand.New(rand.NewPCG(seed, 3)), check: check.New(), queries: map[string]*query{},
 		latency: hdrhistogram.New(1, 60_000_000, 3)}
+	s.check.Copies = e.Copies
 	s.fleet = newFleet(s, seed)
 	s.seed = seed
 	s.end = origin + e.Seconds*1000
@@ -129,6 +130,14 @@
 // hop is the time a message takes one way.
 func (s *World) hop() float64 { return netLeast + (netMost-netLeast)*s.net.Float64() }
 
+// way is the time a message takes from one zone to another.
+func (s *World) way(a, b int) float64 {
+	if a != b {
+		return s.e.Cross.Draw(s.net)
+	}
+	return s.hop()
+}
+
 // Run plays it in virtual time to the end. tick, if any, is called once for each simulated second.
 func (s *World) Run(tick func(second int, r result.Summary)) result.Summary {
 	began := time.Now()
