--- a/balance/balance.go
+++ b/balance/balance.go
@@ -75,8 +75,8 @@
 	moveDoubt   = 0.5   // what that says of the first one for parts that must not run twice
 	jamFor      = 1000  // ms after a refusal or a full replica in which a slow fleet makes no second copy
 	slowFleet   = 2.0   // x usual: a fleet whose median call takes longer is slow
-	shedAt      = 0.03  // x aim: a part held so long at its replicas makes the module refuse what is worth least
-	shedSpan    = 0.30  // x aim: so much more for what is worth most
+	shedAt      = 0.06  // x aim: a part held so long at its replicas makes the module refuse what is worth least
+	shedSpan    = 0.20  // x aim: so much more for what is worth most
 	tryShort    = 0.97  // of what first tries are given: a repeat with less left is cut by its class's deadline
 	repeatWorth = 0.25  // worth of a query asked before: part of its time is gone, and what refused it may last
 	lateLittle  = 0.15  // worth after the aim under which an answer is not waited for
--- a/internal/lab/world/servers.go
+++ b/internal/lab/world/servers.go
@@ -107,9 +107,9 @@
 			did = true
 			l := d.list(index-firstRevision, whole)
 			for _, m := range l.Members { // it is told once this is written
-				if m.Phase == "SERVING" {
+				if m.Phase == "SERVING" && !s.Fault.IgnoreDrain {
 					s.check.Untold(d.b.name, m.ID)
-				} else {
+				} else if m.Phase != "SERVING" {
 					s.check.Told(s.now, d.b.name, m.ID)
 				}
 			}
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -57,8 +57,8 @@
 }
 
 func newVirtual(s *World, i int) *virtual {
-	return &virtual{sim: s, index: i, zone: s.e.ZoneOf(i), name: fmt.Sprintf("broker-%d", i), seed: s.seed + uint64(i)*7919,
-		wake: math.Inf(1), due: math.Inf(1)}
+	return &virtual{sim: s, index: i, zone: s.e.ZoneOf(i), name: fmt.Sprintf("broker-%d", i),
+		seed: s.seed + uint64(i)*7919, wake: math.Inf(1), due: math.Inf(1)}
 }
 
 // start starts its process, with a map that it kept if there is one.
@@ -266,8 +266,8 @@
 		if b.core == nil || gen != b.gen {
 			return
 		}
-		n := b.reader.Answered(s.now, membership.Answer{Complete: c.Whole, Revision: uint64(firstRevision + b.agent),
-			Members: len(s.fleet.nodes)})
+		n := b.reader.Answered(s.now, membership.Answer{Complete: c.Whole,
+			Revision: uint64(firstRevision + b.agent), Members: len(s.fleet.nodes)})
 		if n.Take {
 			b.bring(c.Whole)
 		}
