--- a/cmd/ternlab/main.go
+++ b/cmd/ternlab/main.go
@@ -85,8 +85,9 @@
 }
 
 // defaults are the external variables where none are given.
-var defaults = map[string]string{"every": "2000", "arm": "follow", "seconds": "60", "rate": "200", "stand": "1",
-	"slow": "1", "vanish": "1", "down": "1", "drain": "1", "broker": "1", "zone_cut": "1", "silent": "1", "pause": "1"}
+var defaults = map[string]string{"every": "2000", "arm": "follow", "seconds": "60", "rate": "200",
+	"stand": "1", "slow": "1", "vanish": "1", "down": "1", "drain": "1", "broker": "1", "zone_cut": "1",
+	"silent": "1", "pause": "1"}
 
 func load(path string, vars []string) (*exp.Experiment, error) {
 	all := map[string]string{}
--- a/internal/lab/check/check.go
+++ b/internal/lab/check/check.go
@@ -281,7 +281,7 @@
 // Untold notes that a broker was told that the node serves.
 func (c *Checker) Untold(broker, node string) { delete(c.told, [2]string{broker, node}) }
 
-// Restarted notes that a broker's process is a new one: what was told to the last one counts as told from now.
+// Restarted notes that a broker's process is a new one: what was told to the last one counts as told now.
 func (c *Checker) Restarted(now float64, broker string) {
 	for k := range c.told {
 		if k[0] == broker {
