--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -83,7 +83,7 @@
 		f.byName[id] = uint32(i + 1)
 		f.nodes = append(f.nodes, &node{sim: s, index: i, number: uint32(i + 1), zone: s.e.ZoneOf(i),
 			state: balance.Ready,
-			Node: model.New(id, s.e.NodeOptions(), f.truth.Current(), seed*1009+uint64(i))})
+			Node:  model.New(id, s.e.NodeOptions(), f.truth.Current(), seed*1009+uint64(i))})
 	}
 	return f
 }
