A replica whose late parts were cancelled gets a trial instead of seconds of rest

Cause: learn, branch TimedOut/Cancelled/Moot, set trialAt to infinity. With second copies allowed the late parts of a stall are cancelled when their copies answer, so a replica that stood still for 300 ms was left for 3 to 8 s. Change: such a part goes through tried as a slow answer does, so trials come at the same doubling rests. Two corners of tried with it: a part that comes late out of a stall that a trial has ended counts one trial, and a new process of a replica inherits none.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -150,6 +150,7 @@
 		} else if e.ReadyAt > r.ReadyAt {
 			// Restarted: what was learnt of the old process is void, and the new one is cold.
 			r.level, r.fail, r.once, r.lost, r.warmFrom = stamp{}, stamp{}, stamp{}, false, e.ReadyAt
+			r.trials, r.badAt, r.slow = 0, 0, false
 		}
 		if r.State = e.State; e.State != Gone {
 			r.Cell, r.Zone, r.ReadyAt = e.Cell, e.Zone, max(e.ReadyAt, r.ReadyAt)
@@ -602,10 +603,10 @@
 		(level < slowSuspect*b.fleet || len(r.out) == 0 && r.trials > 0 && now >= r.trialAt)
 }
 
-// tried learns from an answer, x times the usual latency, whether a replica stood still or is slow. What was
-// sent to one that stands comes back late all at once; a part sent after that is a trial, and one at usual
-// latency ends the suspicion at once. After each slow trial the next one waits twice as long. Guards sound
-// replicas against being left for seconds after a pause of 200 ms.
+// tried learns from an answer or a part given up, x times the usual latency, whether a replica stood still or
+// is slow. What was sent to one that stands comes back late all at once, or is cancelled as its copies
+// answer; a part sent after that is a trial, and one at usual latency ends the suspicion at once. After each
+// slow trial the next waits twice as long. Guards sound replicas against being left after a pause of 200 ms.
 func (b *Balancer) tried(now float64, a *attempt, x float64) {
 	r := a.r
 	if x < slowSuspect*b.fleet {
@@ -614,7 +615,7 @@
 		}
 		return
 	}
-	if a.sent > r.badAt {
+	if a.sent > r.badAt || r.trials == 0 { // none: it came late out of a stall that a trial has ended
 		r.trials++
 	}
 	rest := trialRest * b.work(1) * (math.Exp2(float64(r.trials-1)) - 1)
@@ -744,7 +745,7 @@
 		x := (now - a.sent) / b.expect(a)
 		observe(max(x, b.levelOf(now, r)))
 		if x >= slowSuspect*b.fleet {
-			r.trialAt = math.Inf(1) // it has not answered: its level has to fade
+			b.tried(now, a, x)
 		}
 		if x > b.hold && r.cutAt < a.sent {
 			r.room, r.cutAt = 1, now // guards against a crowd at a hung replica each time its bad level has faded
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1153,7 +1153,7 @@
 }
 
 // A replica that stood still for a moment may have one part as soon as what it held has come back, and is used as before
-// once that comes back as usual. After each slow one the next waits longer; one that does not answer gets none.
+// once that comes back as usual. After each slow one the next waits longer.
 func TestAStallIsOverWithTheFirstTrial(t *testing.T) {
 	g := newRig(t, settings())
 	g.fleet(ListFull)
@@ -1190,6 +1190,46 @@
 	}
 }
 
+// What a stall held may be cancelled, as the copies have answered, before it could come back: the replica gets its trial
+// all the same, at doubling rests if it stays silent. What comes late out of a stall that a trial has ended does not make
+// it wait, and a new process inherits neither the trials nor the rest.
+func TestATrialAfterPartsThatWereCancelled(t *testing.T) {
+	g := newRig(t, settings())
+	g.fleet(ListFull)
+	g.warm()
+	r := g.b.replicas[3]
+	silent := func(sent float64) {
+		a := &attempt{r: r, sent: sent, ended: true, part: &part{q: &query{class: &g.b.s.Classes[0]}, cost: 1},
+			call: &callOut{cost: 1}}
+		g.b.learn(g.now, a, Result{Outcome: Cancelled})
+	}
+	silent(g.now - 30*g.b.usual)
+	if level := g.b.levelOf(g.now, r); level < slowSuspect*g.b.fleet || !g.b.fit(g.now, r) {
+		t.Fatalf("at level %v, and it gets no trial", level)
+	}
+	for rest := trialRest; rest < 8*trialRest; rest *= 2 {
+		g.now += fadeMost
+		silent(g.now - 30*g.b.usual)
+		if wait := r.trialAt - g.now; wait < 0.99*rest*g.b.work(1) || wait > fadeMost || g.b.fit(g.now, r) {
+			t.Fatalf("the next trial %v ms after a silent one, %v at least", wait, rest*g.b.work(1))
+		}
+	}
+	g.b.tried(r.trialAt+1, &attempt{r: r, sent: r.trialAt}, 1.2)
+	r.badAt = g.now
+	g.b.tried(g.now, &attempt{r: r, sent: g.now - 500}, 20)
+	if r.level.v = 19; !g.b.fit(g.now, r) {
+		t.Fatal("a part late out of a stall that is over bars the next trial")
+	}
+	silent(g.now + 1)
+	silent(g.now + 1)
+	e := r.Entry
+	e.ReadyAt = g.now
+	g.list(ListDelta, e)
+	if r.trials != 0 || r.badAt != 0 || r.slow {
+		t.Fatalf("a new process begins with %d trials", r.trials)
+	}
+}
+
 // What waits at one shard of a set of replicas holds up the others of the set: they are refused as it is.
 func TestHeldBySetOfReplicas(t *testing.T) {
 	s := settings()
--- a/balance/state.go
+++ b/balance/state.go
@@ -124,7 +124,7 @@
 	room, cutAt float64 // cost out that it carries at its usual latency; when that was last cut
 	shutUntil   float64 // it turned a part away as full
 	used        float64 // when our connection to it last carried something; 0 if there is none
-	badAt       float64 // when an answer last came back that made it a suspect
+	badAt       float64 // when a part last came back, or was given up, so late that it made it a suspect
 	trialAt     float64 // from then on one part may go there though it is one
 	slow        bool    // it has been slow, and has not answered as its zone does since
 	trials      int     // how many were slow in a row, above 0 while it is
