The lab counts what many brokers do together: use of cold nodes, busy parts, fairness

Need: the issue on choices that add up wants today's use of cold nodes' allowance measured before it is changed. Change: internal/lab/ledger (no I/O, no clock): work sent to cold nodes against what they may be sent without falling, over all and while queries are refused; parts turned away; Jain's index over brokers. summary.json and reports have it. A property test holds the turns of cold nodes to the bound argued beside the code, with clocks apart and a tenth more brokers than told.

--- /dev/null
+++ b/internal/fleet/share/turns_test.go
@@ -0,0 +1,55 @@
+package share
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+// TestTurnsStayWithinTheAllowance: in any window, all brokers that use whatever their turns give them send no more than
+// the bound that is argued at Whole, with clocks apart, and with a tenth more of them than each is told.
+func TestTurnsStayWithinTheAllowance(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		told := rapid.IntRange(5, 1000).Draw(t, "told")
+		n := told + rapid.IntRange(0, told/10).Draw(t, "more")
+		parts := rapid.Float64Range(0.001, 2).Draw(t, "parts")
+		passing := rapid.Float64Range(0.01, 0.3).Draw(t, "passing")
+		apart := rapid.Float64Range(0, 0.003).Draw(t, "clocks apart, by the ramp")
+		node := rapid.Uint32().Draw(t, "node")
+		from := rapid.Float64Range(0, 1).Draw(t, "window from")
+		sum := 0.0
+		for me := range n {
+			most := 0.0
+			for k := range 21 { // the most that the broker may have out at any moment of the window
+				age := from + passing*float64(k)/20 + apart*float64(me%2)
+				most = math.Max(most, Whole(parts, passing, me, told, node, age))
+			}
+			sum += most
+		}
+		bound := float64(told)*(math.Max(parts, parts/2+passing)+apart) +
+			float64(n-told)*(math.Floor(parts)+1) // those that are too many may all share the turn of others
+		assert.LessOrEqual(t, sum, bound+4, "%d brokers", n)
+	})
+}
+
+// TestEachBrokerHasItsTurn: in the ramp every broker of a small share may send a part once at least, and neighbouring
+// nodes are not all the same brokers' at a time.
+func TestEachBrokerHasItsTurn(t *testing.T) {
+	const n, parts, passing = 300, 0.075, 1.0 / 12
+	same := 0
+	for me := range n {
+		had := 0
+		for k := range 2000 {
+			age := float64(k) / 2000
+			if Whole(parts, passing, me, n, 7, age) > 0 {
+				if had++; Whole(parts, passing, me, n, 8, age) > 0 {
+					same++
+				}
+			}
+		}
+		assert.Positive(t, had, "broker %d", me)
+	}
+	assert.Zero(t, same, "times at which two nodes are the same broker's")
+}
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -40,6 +40,11 @@
 	P50        float64   `json:"p50_ms"`
 	P99        float64   `json:"p99_ms"`
 	Worth      float64   `json:"worth"`
+	Busy       int       `json:"busy"`       // parts that nodes turned away; in virtual time
+	BusyShare  float64   `json:"busy_share"` // of those sent
+	ColdUsed   float64   `json:"cold_used"`  // of what cold nodes may be sent: how much they were
+	ColdShort  float64   `json:"cold_short"` // the same while queries were refused
+	Fairness   float64   `json:"fairness"`   // Jain's index over brokers of the share of queries answered
 	WallS      float64   `json:"wall_s"`
 	SimulatedS float64   `json:"simulated_s"`
 	Notes      []string  `json:"notes,omitempty"`
@@ -74,6 +79,9 @@
 		out.Worth += r.Worth * w
 		out.P50 += r.P50 * w
 		out.P99 += r.P99 * w
+		out.BusyShare += r.BusyShare * w
+		out.ColdUsed, out.ColdShort = out.ColdUsed+r.ColdUsed*w, out.ColdShort+r.ColdShort*w
+		out.Fairness += r.Fairness * w
 		out.WallS += r.WallS
 		out.SimulatedS += r.SimulatedS
 		out.Notes = append(out.Notes, r.Notes[:min(len(r.Notes), 2)]...)
@@ -85,6 +93,8 @@
 	}
 	if n := float64(max(out.Taken, 1)); true {
 		out.Worth, out.P50, out.P99 = out.Worth/n, out.P50/n, out.P99/n
+		out.BusyShare, out.Fairness = out.BusyShare/n, out.Fairness/n
+		out.ColdUsed, out.ColdShort = out.ColdUsed/n, out.ColdShort/n
 	}
 	return out
 }
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -96,6 +96,7 @@
 	if s.e.Troubles.Every > 0 && len(s.e.Troubles.Kinds) > 0 {
 		s.at(s.now+3000, f.trouble)
 	}
+	s.at(s.now+ledgerStep, f.account)
 	for _, v := range s.e.Script {
 		s.at(s.now+v.At, func() { f.strike(v.Kind, v.On, v.For) })
 	}
@@ -382,6 +383,23 @@
 	}
 }
 
+// ledgerStep is how often what cold nodes were sent is counted up, in ms.
+const ledgerStep = 100.0
+
+// account counts what cold nodes might have been sent since the last time: so much of what they can do now
+// as a node stands without falling.
+func (f *fleet) account() {
+	s, may := f.sim, 0.0
+	for _, n := range f.nodes {
+		if n.Cold(s.now) && !n.Fallen && n.Trouble != model.Down && n.Trouble != model.Drain {
+			may += s.e.Node.FallMultiple * n.Capacity(s.now) * ledgerStep
+		}
+	}
+	if s.sums.Step(may); s.now < s.end {
+		s.at(s.now+ledgerStep, f.account)
+	}
+}
+
 // answerer is where a node's answer to a part goes.
 type answerer interface{ answer(end model.End) }
 
@@ -389,6 +407,9 @@
 func (n *node) arrive(j *model.Job) {
 	s := n.sim
 	s.check.Came(j.Query, j.Districts)
+	if n.Cold(s.now) && n.Trouble != model.Drain {
+		s.sums.Cold(j.Work)
+	}
 	fallen := n.Fallen
 	end, done := n.Arrive(s.now, j)
 	switch {
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -388,3 +388,5 @@
 				"max_retry_after_ms": 1000, "multiplex": 32, "parallel_tries": e.Copies, "retry_after": true,
 				"try_limit": e.Tries}}}
 }
+
+func (b *process) number() int { return b.index }
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -443,6 +443,7 @@
 func (f *sending) launch() {
 	s := f.b.sim
 	s.check.Sent(s.now, f.b.name, f.node.ID)
+	s.sums.Sent(f.b.index)
 	f.b.out = append(f.b.out, f)
 	f.comes = s.now + s.way(f.b.zone, f.node.zone)
 	s.at(f.comes, f.arrive)
@@ -477,6 +478,8 @@
 	case model.Err:
 		f.ends(balance.Failed, nil)
 	case model.Busy:
+		s := f.b.sim
+		s.sums.Busy(f.b.index)
 		f.ends(balance.Full, nil)
 	case model.Moved:
 		f.a.NodeEpoch = f.node.Epoch()
@@ -510,3 +513,5 @@
 	return slicemap.Stats{Moved: a.Moved + b.Moved, Disagree: a.Disagree + b.Disagree,
 		Refused: a.Refused + b.Refused}
 }
+
+func (b *virtual) number() int { return b.index }
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -16,6 +16,7 @@
 	"ternstage/internal/core"
 	"ternstage/internal/lab/check"
 	"ternstage/internal/lab/exp"
+	"ternstage/internal/lab/ledger"
 	"ternstage/internal/lab/model"
 	"ternstage/internal/lab/result"
 	"ternstage/internal/slicemap"
@@ -32,6 +33,7 @@
 // broker is a broker as the world sees it.
 type broker interface {
 	id() string
+	number() int
 	process() int // counts its starts
 	up() bool     // it runs and serves
 	start(cached *slicemap.Version)
@@ -79,6 +81,7 @@
 	load, net, world *rand.Rand
 
 	check   *check.Checker
+	sums    *ledger.Ledger
 	fleet   *fleet
 	brokers []broker
 	queries map[string]*query
@@ -96,6 +99,9 @@
 	Fault Fault
 }
 
+// fairFrom is how many queries of a broker must have ended for it to count in the index of fairness.
+const fairFrom = 5
+
 // Fault spoils a run on purpose, so that a checker can be seen to catch it.
 type Fault struct {
 	Unfenced    bool // nodes execute what they do not hold
@@ -115,6 +121,7 @@
 		world: rand.New(rand.NewPCG(seed, 3)), check: check.New(), queries: map[string]*query{},
 		latency: hdrhistogram.New(1, 60_000_000, 3)}
 	s.check.Copies = e.Copies
+	s.sums = ledger.New(e.Brokers)
 	s.fleet = newFleet(s, seed)
 	s.seed = seed
 	s.end = origin + e.Seconds*1000
@@ -192,6 +199,8 @@
 		Changes: s.fleet.changes, Epochs: int(s.fleet.truth.Current().Epoch), Stale: s.stale,
 		P50: float64(s.latency.ValueAtQuantile(50)) / 1000, P99: float64(s.latency.ValueAtQuantile(99)) / 1000,
 		SimulatedS: (s.now - origin) / 1000, Slices: s.fleet.truth.Current().Len()}
+	r.Busy, r.BusyShare = s.sums.BusyParts()
+	r.ColdUsed, r.ColdShort, r.Fairness = s.sums.All.Share(), s.sums.Short.Share(), s.sums.Fairness(fairFrom)
 	if s.worth[1] > 0 {
 		r.Worth = math.Round(s.worth[0]/s.worth[1]*1e6) / 1e6
 	}
@@ -331,10 +340,13 @@
 	switch a.Kind {
 	case core.Refused:
 		s.check.Refusal(s.now, id)
+		s.sums.Refused(q.b.number())
 		q.again(a.RetryAfter)
 	case core.Failed:
 		s.check.Failure(s.now, id)
+		s.sums.Failed(q.b.number())
 	default:
+		s.sums.Answered(q.b.number())
 		hits := make([]check.Hit, 0, len(a.Values))
 		for _, v := range a.Values {
 			hits = append(hits, check.Hit{Shard: v.Shard, Districts: v.Districts, Doc: string(v.Doc)})
