The turns of cold nodes are back in the policy file; moved parts say nothing at the door

Need: on rereading, share.Whole was unchanged code of coldLeft in a file that policy does not name, where decisions of the ordinary path are not to go; and the door counted a part answered moved as taken, though it never ran.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -88,6 +88,7 @@
 	coldTrust   = 1.4   // x such a share while the replica answers as others do: few peers fill it at a time
 	coldEasy    = 1.3   // x the fleet's level up to which it does
 	coldGrant   = 2.0   // mean parts' work: a smaller share of the allowance is rounded to whole parts
+	coldStride  = 0.618 // circles: how far apart replicas' turns begin; the golden ratio spreads them
 	calmGain    = 5e-4  // weight of the newest usual latency in the least one, where it is above it
 	coldMost    = 2.0   // ms of work in a ms: as much as one co-ordinator may believe a warm replica does
 	coldUnit    = 100.0 // ms of work a part is taken for while nothing has been seen
@@ -569,7 +570,8 @@
 		if r.level.at > r.warmFrom && b.levelOf(now, r) < coldEasy*b.fleet {
 			left = min(coldTrust*left, coldGrant*part)
 		}
-		left = part * share.Whole(left/part, b.s.FallFor/ramp, b.s.Me, b.s.Peers, r.Replica, age/ramp)
+		turn := math.Mod(float64(b.s.Me)/float64(b.s.Peers)+float64(r.Replica)*coldStride+age/ramp, 1)
+		left = math.Floor(max(left/part-b.s.FallFor/ramp, left/part/2)+turn) * part
 	}
 	for _, w := range r.cold {
 		if w.at >= now-b.s.FallFor {
@@ -675,9 +677,7 @@
 // learn takes what an outcome says of its replica.
 func (b *Balancer) learn(now float64, a *attempt, res Result) {
 	r, bad := a.r, 1.0
-	if res.Outcome != TimedOut && !res.Outcome.givenUp() { // faults of nodes and ways look like that too
-		b.sum.Ended(a.part.cost, res.Outcome != Full)
-	}
+	b.sum.Ended(a.part.cost*res.Outcome.tells(), res.Outcome != Full)
 	if res.Outcome == Moved {
 		r.used = now
 		return // it says nothing against the replica
--- a/balance/state.go
+++ b/balance/state.go
@@ -149,8 +149,14 @@
 	return s.v * math.Exp2((s.at-now)/half)
 }
 
-// givenUp tells that the co-ordinator itself stopped waiting.
-func (o Outcome) givenUp() bool { return o == Cancelled || o == Moot }
+// tells is how much an outcome says of whether the fleet takes what it is sent, 0 or 1: nothing if no answer
+// came, as hung replicas and cut ways look like that too, or if the part was never meant for the replica.
+func (o Outcome) tells() float64 {
+	if o == TimedOut || o == Cancelled || o == Moot || o == Moved {
+		return 0
+	}
+	return 1
+}
 
 func (a *attempt) mayHaveRun() bool { return !a.ended || a.outcome < Full }
 
