--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 	"ternstage/internal/core"
 	"ternstage/internal/discovery"
 	"ternstage/internal/lab/exp"
+	"ternstage/internal/lab/loopback"
 	"ternstage/internal/lab/result"
 	"ternstage/internal/slicemap"
 )
@@ -30,6 +30,7 @@
 	lookAgain = 50.0   // ms after which what seems to be out twice must not be
 	memoryMB  = 192
 	filesMost = 1024
+	logMost   = 2000 // bytes of a broker's log that an error shows
 )
 
 // LiveOptions say how an experiment is played live.
@@ -100,7 +101,13 @@
 		return true
 	}
 	if s.pump(ctx, func() bool { return ready() || time.Since(began) > startMost }); !ready() {
-		return result.Summary{}, fmt.Errorf("a broker does not serve: see its log in %s", o.Dir)
+		for _, b := range brokers {
+			if !b.up() {
+				text, _ := os.ReadFile(b.log.Name())
+				return result.Summary{}, fmt.Errorf("%s does not serve; its log ends: %s", b.name,
+					text[max(0, len(text)-logMost):])
+			}
+		}
 	}
 	s.end = s.now + s.e.Seconds*1000
 	s.fleet.start()
@@ -172,15 +179,12 @@
 
 func newProcess(s *World, i int) (*process, error) {
 	b := &process{world: s, index: i, name: fmt.Sprintf("broker-%d", i)}
+	var err error
 	for _, to := range []*string{&b.addr, &b.grpc} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		if *to, err = loopback.Free(); err != nil {
 			return nil, err
 		}
-		*to = ln.Addr().String()
-		_ = ln.Close()
 	}
-	var err error
 	if b.discovery, err = newDiscovery(s, b); err != nil {
 		return nil, err
 	}
--- a/internal/lab/world/servers.go
+++ b/internal/lab/world/servers.go
@@ -10,6 +10,7 @@
 	"ternstage/balance"
 	"ternstage/internal/catalog"
 	"ternstage/internal/discovery"
+	"ternstage/internal/lab/loopback"
 	"ternstage/internal/slicemap"
 )
 
@@ -26,7 +27,7 @@
 }
 
 func newDiscovery(s *World, b *process) (*discoveryServer, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Own())
 	if err != nil {
 		return nil, err
 	}
@@ -198,7 +199,7 @@
 
 // wires opens the nodes' sockets and the catalogue's.
 func (s *World) wires() error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Own())
 	if err != nil {
 		return err
 	}
--- a/internal/lab/world/sockets.go
+++ b/internal/lab/world/sockets.go
@@ -25,6 +25,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"ternstage/internal/lab/loopback"
 	"ternstage/internal/lab/model"
 	"ternstage/internal/slicemap"
 )
@@ -95,7 +96,7 @@
 func (k *socket) back() {
 	at := k.addr
 	if at == "" {
-		at = "127.0.0.1:0"
+		at = loopback.Own()
 	}
 	ln, err := net.Listen("tcp", at)
 	if err != nil {
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -13,13 +13,14 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"ternstage/internal/lab/loopback"
 )
 
 const patience = 15 * time.Second // for a condition; never waited out when all is well
@@ -106,7 +107,7 @@
 }
 
 func newDiscovery(t *testing.T, members []member) *discovery {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Own())
 	require.NoError(t, err)
 	d := &discovery{addr: ln.Addr().String(), list: list{41, true, members}, next: make(chan struct{})}
 	d.Server = &http.Server{Handler: d}
@@ -207,20 +208,10 @@
 	listen   string   // its address
 }
 
-// ownAddress is a loopback address of its own with any free port: no connection that goes out from 127.0.0.1 in
-// another test can take the port between its being found and its being used.
-func ownAddress() string {
-	n, pid := int(addresses.Add(1)), os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid%250, n/250, 1+n%250)
-}
-
-var addresses atomic.Int64
-
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", ownAddress())
+	a, err := loopback.Free()
 	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	return a
 }
 
 // launch starts the program without waiting for it to serve.
--- a/test/ops_test.go
+++ b/test/ops_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"ternstage/internal/lab/loopback"
 )
 
 // call makes one operator's call and gives its status, 0 if there was no answer.
@@ -232,7 +234,7 @@
 // TestUpgrade: a second process on the same listener, given as descriptor 5, takes over under load; the old
 // one ends on SIGTERM, and no request goes unheard.
 func TestUpgrade(t *testing.T) {
-	ln, err := net.Listen("tcp", ownAddress())
+	ln, err := net.Listen("tcp", loopback.Own())
 	require.NoError(t, err)
 	file := keptListener(t, ln)
 	tmp := t.TempDir()
@@ -337,7 +339,7 @@
 // TestSharedListenerSetBack: Go's exec sets the shared listener back to blocking as it starts the second
 // process; the first must not be held in accept by that.
 func TestSharedListenerSetBack(t *testing.T) {
-	ln, err := net.Listen("tcp", ownAddress())
+	ln, err := net.Listen("tcp", loopback.Own())
 	require.NoError(t, err)
 	a := ln.Addr().String()
 	file, err := ln.(*net.TCPListener).File() // not made blocking once, as keptListener does
--- a/test/slices_test.go
+++ b/test/slices_test.go
@@ -20,6 +20,7 @@
 
 	"ternstage/internal/catalog"
 	"ternstage/internal/lab/exp"
+	"ternstage/internal/lab/loopback"
 	"ternstage/internal/lab/world"
 )
 
@@ -53,7 +54,7 @@
 }
 
 func newCatalogue(t *testing.T, doc any) *catalogue {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Own())
 	require.NoError(t, err)
 	c := &catalogue{addr: ln.Addr().String(), doc: doc, next: make(chan struct{})}
 	s := &http.Server{Handler: c}
--- a/test/standin_test.go
+++ b/test/standin_test.go
@@ -22,12 +22,14 @@
 	"github.com/apache/arrow-go/v18/arrow/ipc"
 	"github.com/apache/arrow-go/v18/arrow/memory"
 	"github.com/stretchr/testify/require"
+
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"ternstage/internal/lab/loopback"
 )
 
 // deed is what a node does with a part.
@@ -72,7 +74,7 @@
 func startNodes(t *testing.T, over wire, do func(s sent, nth int) deed, dead ...int) *nodes {
 	ns := &nodes{do: do, let: make(chan struct{})}
 	for i := range 4 {
-		ln, err := net.Listen("tcp", ownAddress())
+		ln, err := net.Listen("tcp", loopback.Own())
 		require.NoError(t, err)
 		m := member{ID: fmt.Sprintf("s-%d", i), Address: ln.Addr().String(), Locality: "salt-lake", Cell: i,
 			Phase: "SERVING", Size: 1}
