--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -104,7 +104,7 @@
 			nodes.Address)
 	}
 	reader := membership.NewReader(membership.Options{Pushed: !cfg.Module.MustAsk,
-		DrainGrace: cfg.Module.DrainGrace})
+		DrainGrace: cfg.Module.DrainGrace, Me: cfg.Module.Me, Peers: cfg.Module.Peers})
 	watch := discovery.NewWatcher(l, c, log, nodes, reader, cfg.Discovery)
 	c.Attach(back, watch)
 	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -246,8 +246,8 @@
 	}
 }
 
-// fail ends a call that came to nothing. Where the list is asked for the watch ends with it: the module hears
-// of it and asks again after a delay of its own. An agent is read on at its pace.
+// fail ends a call that came to nothing. Where the list is asked for the watch ends with it, silence aside: the
+// module hears of it and asks again after a delay of its own. An agent is read on at its pace.
 func (w *Watcher) fail(code logs.Code, err error) {
 	if w.s == nil && !w.silent {
 		w.log.Conn(code, w.address, 0, err)
@@ -259,7 +259,7 @@
 		return
 	}
 	w.out = false
-	next := w.reader.Failed(w.loop.Now())
+	next := w.reader.Failed(w.loop.Now(), code == logs.DiscoveryTimeout)
 	if next.Tell {
 		w.calling = false
 		w.core.ListChanged(balance.ListFailed, nil)
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -257,7 +257,7 @@
 	if s.fleet.silent[b.index] > s.now {
 		s.at(s.now+c.Patience, func() {
 			if b.core != nil && gen == b.gen {
-				s.at(b.reader.Failed(s.now).At, func() { b.read(gen) })
+				s.at(b.reader.Failed(s.now, true).At, func() { b.read(gen) })
 			}
 		})
 		return
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -21,6 +21,9 @@
 	// must show before changes count as told.
 	watchWait  = 3000.0 // ms
 	answerMost = 2000.0 // ms
+	// A watch that fell silent is opened anew in its broker's turn within so long: all of a fleet may have fallen
+	// silent with one machine. What it misses counts as told 6 s after it fell silent, 1 s after patience ends.
+	anewMost = 250.0 // ms
 	// A watch is called again at once, but an answer that comes sooner than this after its call and tells
 	// nothing is no watch: then the next call waits.
 	spinLeast = 20.0 // ms
@@ -62,6 +65,7 @@
 type Reader struct {
 	pushed          bool
 	period, patient float64
+	turn            float64 // ms after silence at which the watch is opened anew
 	revision        uint64
 	have            bool // revision is of the list that is known
 	members         bool // that list has had members
@@ -73,11 +77,13 @@
 type Options struct {
 	Pushed     bool
 	DrainGrace float64 // ms after being told in which work may still go to a node that drains; 0 for no rule
+	Me, Peers  int     // this broker's number, and how many there are
 }
 
 // NewReader makes a reader that knows no list.
 func NewReader(o Options) *Reader {
-	r := &Reader{pushed: o.Pushed, period: mostPeriod, patient: watchWait + answerMost}
+	r := &Reader{pushed: o.Pushed, period: mostPeriod, patient: watchWait + answerMost,
+		turn: anewMost * float64(o.Me) / float64(max(1, o.Peers))}
 	if o.DrainGrace > 0 {
 		r.period = min(max(o.DrainGrace*periodShare, leastPeriod), mostPeriod)
 	}
@@ -149,11 +155,14 @@
 	return n
 }
 
-// Failed takes a call that came to nothing: refused, reset, silent, or with an answer that is no list.
-func (r *Reader) Failed(now float64) Next {
+// Failed takes a call that came to nothing: refused, reset, with an answer that is no list, or silent. Silence
+// says that a connection is dead, where a service with too many callers refuses or resets. So where the list
+// is asked for, a silent watch is opened anew at once: all brokers of a fleet together then call less often
+// than their watches do, as each has waited out its patience. Any other failure is the module's to pace.
+func (r *Reader) Failed(now float64, silent bool) Next {
 	r.stats.Failed++
 	if !r.pushed {
-		return Next{Tell: true}
+		return Next{Tell: !silent, At: now + r.turn}
 	}
 	// An agent that was away may have started anew. It is on this machine: asking again at the usual pace
 	// burdens nobody, and any longer delay would be missing when it speaks again.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -25,9 +25,9 @@
 			switch rapid.IntRange(0, 4).Draw(t, "agent") {
 			case 0: // silent
 				end = now + c.Patience
-				n = r.Failed(end)
+				n = r.Failed(end, true)
 			case 1: // refuses
-				n = r.Failed(end)
+				n = r.Failed(end, false)
 			default:
 				end = now + rapid.Float64Range(0, c.Wait).Draw(t, "took")
 				n = r.Answered(end, Answer{Complete: rapid.Bool().Draw(t, "whole"),
@@ -86,5 +86,26 @@
 	assert.LessOrEqual(t, calls, 51)
 	r.Begin(now)
 	assert.Equal(t, now+0.1, r.Answered(now+0.1, Answer{Revision: 42, Members: 1}).At)
-	assert.True(t, r.Failed(now).Tell)
+	assert.True(t, r.Failed(now, false).Tell, "a service that refuses is the module's to pace")
+}
+
+// TestSilentWatchIsOpenedAnew: where the list is asked for, a watch that fell silent is opened anew by each of any
+// number of brokers so soon that what it misses is read within half of the grace after it counts as told, 6 s after
+// the silence; and all of them together call less often than their watches do.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := rapid.IntRange(1, 1000).Draw(t, "peers")
+		r := NewReader(Options{DrainGrace: 1000, Me: rapid.IntRange(0, peers-1).Draw(t, "me"), Peers: peers})
+		r.Known(41, 3)
+		now := 0.0
+		for range 5 {
+			c := r.Begin(now)
+			assert.False(t, c.Whole)
+			n := r.Failed(now+c.Patience, true)
+			assert.False(t, n.Tell, "it does not wait for the module's delay")
+			assert.LessOrEqual(t, n.At, now+6000+500-1000, "a second is left for the answer")
+			assert.Greater(t, n.At-now, c.Wait, "no more often than the watch itself")
+			now = n.At
+		}
+	})
 }
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -241,6 +242,32 @@
 	assert.Equal(t, "/catalog/members?index=0&wait=3000", d.targets[0])
 }
 
+// TestSilentWatchAmongHundreds: one of 300 brokers whose watch falls silent opens it anew when its patience ends, and
+// hears of a drain meanwhile; the module's delay for a service with that many callers would be 9 to 18 s.
+func TestSilentWatchAmongHundreds(t *testing.T) {
+	t.Parallel()
+	s := settings()
+	s["balancers"], s["me"] = 300, 120
+	ns := startNodes(t, wires[0], nil)
+	d := newDiscovery(t, ns.members)
+	d.mute = true
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": freeAddress(t), "discovery": d.addr,
+		"seed": "1", "known": d.list, "settings": s})
+	require.NoError(t, err)
+	launch(t, text)
+	calls := func() []time.Time { d.mu.Lock(); defer d.mu.Unlock(); return slices.Clone(d.calls) }
+	require.Eventually(t, func() bool { return len(calls()) > 0 }, patience, time.Millisecond)
+	d.mu.Lock()
+	d.mute = false
+	d.mu.Unlock()
+	require.Eventually(t, func() bool { return len(calls()) > 1 }, patience, time.Millisecond)
+	at := calls()
+	assert.Less(t, at[1].Sub(at[0]), 6*time.Second)
+	d.change(func() { d.list.Members[2].Phase = "DRAINING" })
+	changed := time.Now()
+	require.Eventually(t, func() bool { return d.toldSince(changed) }, patience, time.Millisecond, "the watch is on")
+}
+
 // TestProgramIsLinkedDynamically: the platform loads a library of its own into the program, which a static one
 // would pass over in silence.
 func TestProgramIsLinkedDynamically(t *testing.T) {
