Many brokers refuse what has too little time left; a jam elsewhere bars no move

Queries let in and not answered had 230 ms in all: clients come again with what time is left them, parts take 150 to 200 ms then, and nodes go on with work whose client has left. 22% of what nodes served counted. Change: admit refuses a query with less time left than its last part takes in the fleet now (share.Takes; weight 0 for up to four brokers). move goes by what is held at the part's own set, and by jams anywhere only while the fleet's median is over 1.4 x usual.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,13 +1,12 @@
 package balance
 
-// The decisions of a co-ordinator. The interface (settings, events, actions) is in api.go, what is held
-// between events in state.go. A query's life: QueryArrived and PartArrived take it in. EndTurn admits or
-// refuses it (admit), groups its parts into calls and queues each at its shard, the costliest by threshold,
-// the others by the ratio rule (place). Every shard's queues drain by Deficit Round Robin while a replica of
-// it is at its usual latency (release), each call to the replica with fewest of our own calls out (pick).
-// Every attempt passes send, where the rules are kept. AttemptEnded learns from the outcome (learn) and
-// answers the query once it is whole (settle). EndTurn, every few ms, moves on what waits (tidy), tries late
-// parts again or elsewhere (sweep, move) and ends what is out of time (expire). finish ends a query, once.
+// The decisions of a co-ordinator. The interface is in api.go, what is held between events in state.go. A
+// query's life: QueryArrived and PartArrived take it in. EndTurn admits or refuses it (admit), groups its
+// parts into calls and queues each at its shard (place). Every shard's queues drain by Deficit Round Robin
+// while a replica of it is at its usual latency (release), each call to the replica with fewest of our own
+// calls out (pick). Every attempt passes send, where the rules are kept. AttemptEnded learns from the outcome
+// (learn) and answers the query once it is whole (settle). EndTurn, every few ms, moves on what waits (tidy),
+// tries late parts elsewhere (sweep, move) and ends what is out of time (expire). finish ends a query, once.
 
 import (
 	"cmp"
@@ -76,6 +75,7 @@
 	moveLevel   = 4.0   // x another replica's level: from there on a late part moves to it
 	moveDoubt   = 0.5   // what that says of the first one for parts that must not run twice
 	jamFor      = 1000  // ms after a refusal or a full replica in which a slow fleet makes no second copy
+	moveSlow    = 1.4   // x usual: a fleet whose median call takes longer moves nothing either then
 	slowFleet   = 2.0   // x usual: a fleet whose median call takes longer is slow
 	shedAt      = 0.06  // x aim: a part held so long at its replicas makes the module refuse what is worth least
 	shedSpan    = 0.20  // x aim: so much more for what is worth most
@@ -347,7 +347,8 @@
 	}
 	worth := q.value / b.maxWorth
 	room := b.room * (roomLow + worth)
-	shed := q.step == 0 && (worst > q.class.Aim*(shedAt+shedSpan*worth) || b.load > room ||
+	shed := q.step == 0 && (q.Deadline-b.spare < now+b.sum.Takes(b.median*b.partTime, len(q.parts)) ||
+		worst > q.class.Aim*(shedAt+shedSpan*worth) || b.load > room ||
 		now < b.admitted+(cost/room-1)*b.median*b.partTime || b.sum.Refuse(worth, b.random))
 	if shed && (b.load > room || worst > 0) {
 		b.jamAt = now
@@ -551,10 +552,10 @@
 }
 
 // coldLeft is what is left, in ms of work, of our share of a cold replica's allowance; it is taken for as
-// cold as half a window ago. A small share is rounded to whole parts, up or down by a turn that is spread
-// evenly over the peers and moves with the replica's age, which all know, once round by the end of its ramp:
-// together they have the allowance in any window. Of many such shares few are used up in one window, so they
-// grow while the replica answers as others do. need is the part's work, or one where parts are counted.
+// cold as half a window ago. A small share is rounded to whole parts by a turn that is spread evenly over
+// the peers and moves with the replica's age, once round by the end of its ramp: together they have the
+// allowance in any window. Few of many such shares are used up, so they grow while the replica answers as
+// others do.
 func (b *Balancer) coldLeft(now float64, r *replica, cost float64) (left, need float64) {
 	if need = b.coldWork(cost); b.warm(now, r) {
 		return math.Inf(1), need
@@ -904,12 +905,12 @@
 	return true
 }
 
-// move gives up a late attempt at a part that may be repeated, where no second copy may be out: once its end
-// is told, the next sweep tries another replica. Guards safe parts against replicas that hang or crawl;
-// throws away what was about to come, so it keeps still in a jam as copies do.
+// move gives up a late attempt at a part that may be repeated, where no second copy may be out: once its
+// end is told, the next sweep tries another replica. Guards safe parts against replicas that hang or crawl;
+// throws away what was about to come, so it keeps still in a jam of its set, and of a slow fleet.
 func (b *Balancer) move(now float64, p *part, a *attempt) bool {
 	if !b.s.Cancel || b.s.SecondCopies || p.q.class.Effect != Safe ||
-		now < b.jamAt+jamFor ||
+		b.held(p.Shard, now) < now || b.median > moveSlow && now < b.jamAt+jamFor ||
 		b.s.MaxAttempts > 0 && len(p.attempts) >= b.s.MaxAttempts ||
 		b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow) {
 		return false
--- /dev/null
+++ b/balance/mass_test.go
@@ -0,0 +1,85 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestTooLittleTimeIsRefusedAtTheDoorOfMany: one of 300 holds nothing when a query comes, and the fleet takes 160 ms
+// for a part. A query that is left 150 ms is refused at once, one of many parts with 400 ms too; with time both are
+// taken. One of three goes by what it holds itself, as ever.
+func TestTooLittleTimeIsRefusedAtTheDoorOfMany(t *testing.T) {
+	for _, peers := range []int{3, 300} {
+		s := settings()
+		s.Peers = peers
+		g := newRig(t, s)
+		g.fleet(ListFull)
+		g.warm()
+		for i := range 60 {
+			g.query(0, i%6)
+			g.turn()
+			g.pass(200, g.after(160))
+		}
+		take := func(left float64, shards ...int) bool {
+			g.next++
+			q := &rigQuery{q: Query{ID: g.next, Group: int(g.next), Deadline: g.now + left}}
+			g.queries[q.q.ID] = q
+			g.b.QueryArrived(g.now, q.q)
+			for _, sh := range shards {
+				g.part(q, sh, 100, 1/float64(len(shards)))
+			}
+			g.turn()
+			at := q.how
+			g.pass(500, g.after(160))
+			return at == ""
+		}
+		all := []int{0, 1, 2, 3, 4, 5}
+		assert.Equal(t, peers == 3, take(150, 0), peers)
+		assert.Equal(t, peers == 3, take(400, append(all, all...)...), peers)
+		assert.True(t, take(3000, 0), peers)
+		assert.True(t, take(3000, all...), peers)
+	}
+}
+
+// TestFullReplicasElsewhereBarNoMove: some replicas turn parts away all the time while another hangs. What hangs moves,
+// as the fleet is quick and nothing waits at its set; in a fleet that is slow it keeps still.
+func TestFullReplicasElsewhereBarNoMove(t *testing.T) {
+	for _, slow := range []bool{false, true} {
+		s := settings()
+		s.SecondCopies, s.Peers = false, 300
+		g := newRig(t, s)
+		g.fleet(ListFull)
+		g.warm()
+		took := 40.0
+		if slow {
+			took = 400
+		}
+		reply := func(a *rigSend) {
+			switch {
+			case a.replica >= 4 && a.no == 0:
+				g.end(a, Full)
+			case a.replica != 1:
+				g.after(took)(a)
+			case slow:
+				g.after(took)(a)
+			}
+		}
+		for range 30 {
+			g.query(0, 3)
+			g.turn()
+			g.pass(50, reply)
+		}
+		moved := 0
+		for range 20 { // the ties' dice send some of them to the one that hangs
+			g.query(0, 3) // at 4, 5 and 6 all are turned away at first
+			q := g.query(0, 0)
+			g.turn()
+			g.pass(500, reply)
+			if sends := q.parts[0].sends; len(sends) > 1 && sends[0].cancel {
+				moved++
+			}
+		}
+		assert.Equal(t, !slow, moved > 0, "%d moved, slow %v", moved, slow)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -246,8 +246,8 @@
 	}
 }
 
-// fail ends a call that came to nothing. Where the list is asked for the watch ends with it, silence aside: the
-// module hears of it and asks again after a delay of its own. An agent is read on at its pace.
+// fail ends a call that came to nothing. Where the list is asked for the watch ends with it, silence aside:
+// the module hears of it and asks again after a delay of its own. An agent is read on at its pace.
 func (w *Watcher) fail(code logs.Code, err error) {
 	if w.s == nil && !w.silent {
 		w.log.Conn(code, w.address, 0, err)
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -1,6 +1,6 @@
-// Package loopback finds addresses for what processes under test listen at. A port of 127.0.0.1 that was found
-// free can be taken before it is used, by a listener or a connection of any other test that runs beside; each
-// address given here is one of 127.0.0.0/8 of its own, where nobody else asks for a port.
+// Package loopback finds addresses for what processes under test listen at. A port of 127.0.0.1 that was
+// found free can be taken before it is used, by a listener or a connection of any other test that runs
+// beside; each address given here is one of 127.0.0.0/8 of its own, where nobody else asks for a port.
 package loopback
 
 import (
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -21,8 +21,9 @@
 	// must show before changes count as told.
 	watchWait  = 3000.0 // ms
 	answerMost = 2000.0 // ms
-	// A watch that fell silent is opened anew in its broker's turn within so long: all of a fleet may have fallen
-	// silent with one machine. What it misses counts as told 6 s after it fell silent, 1 s after patience ends.
+	// A watch that fell silent is opened anew in its broker's turn within so long: all of a fleet may have
+	// fallen silent with one machine. What it misses counts as told 6 s after it fell silent, 1 s after
+	// patience ends.
 	anewMost = 250.0 // ms
 	// A watch is called again at once, but an answer that comes sooner than this after its call and tells
 	// nothing is no watch: then the next call waits.
@@ -155,10 +156,11 @@
 	return n
 }
 
-// Failed takes a call that came to nothing: refused, reset, with an answer that is no list, or silent. Silence
-// says that a connection is dead, where a service with too many callers refuses or resets. So where the list
-// is asked for, a silent watch is opened anew at once: all brokers of a fleet together then call less often
-// than their watches do, as each has waited out its patience. Any other failure is the module's to pace.
+// Failed takes a call that came to nothing: refused, reset, with an answer that is no list, or silent.
+// Silence says that a connection is dead, where a service with too many callers refuses or resets. So where
+// the list is asked for, a silent watch is opened anew at once: all brokers of a fleet together then call
+// less often than their watches do, as each has waited out its patience. Any other failure is the module's
+// to pace.
 func (r *Reader) Failed(now float64, silent bool) Next {
 	r.stats.Failed++
 	if !r.pushed {
