Cold nodes are shared by what each broker gets served; closed shards are refused at once

Change: share.Cold gives a broker as many times a cold node's fraction as it had served itself at the mean warm node. Turns do not move, so nothing is lost to passing. admit refuses a query at once whose shards open for us in more than half of its aim. The door may go down to a tenth (a quarter before) and rests at a fifth turned away.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,8 +85,7 @@
 	answerSpare = 10.0  // ms, and a tick: so long before the client leaves the final answer is out
 	sweepEvery  = 10.0  // ms between sweeps; finer than any latency judged
 	coldShare   = 0.7   // of the cold allowance used: the rest is for errors of the estimate
-	coldTrust   = 1.4   // x such a share while the replica answers as others do: few peers fill it at a time
-	coldEasy    = 1.3   // x the fleet's level up to which it does
+	openAim     = 0.5   // x aim: a part is not waited for whose replicas all stay closed for longer
 	coldGrant   = 2.0   // mean parts' work: a smaller share of the allowance is rounded to whole parts
 	coldStride  = 0.618 // circles: how far apart replicas' turns begin; the golden ratio spreads them
 	calmGain    = 5e-4  // weight of the newest usual latency in the least one, where it is above it
@@ -118,7 +117,7 @@
 		spare: answerSpare + s.Tick, hold: holdLeast, cores: 1, leastAim: never, wakeAt: never,
 		watchAt: never, jamAt: -never, tenants: make([]stamp, len(s.Tenants)),
 		far: map[int]*shard{}, waits: map[int]float64{}, sum: share.NewThrottle(s.Peers),
-		tryTime: make([]float64, len(s.Classes))}
+		cold: share.NewCold(s.Peers), tryTime: make([]float64, len(s.Classes))}
 	for _, c := range s.Classes {
 		b.maxWorth, b.leastAim = max(b.maxWorth, c.Worth), min(b.leastAim, c.Aim)
 	}
@@ -298,6 +297,7 @@
 // EndTurn admits the queries of this turn, sweeps what is held, and releases queued parts.
 func (b *Balancer) EndTurn(now float64) {
 	b.turn++
+	b.cold.Pass(now, b.countWarm)
 	if b.s.MustAsk && now >= b.watchAt {
 		b.act.Watch()
 		b.watchAt = now + cmp.Or(b.s.AskWithin/2, math.Inf(1)) // should no answer come at all
@@ -340,7 +340,9 @@
 	// than the room is let in at a pace. May refuse what a jam about to end would serve.
 	worst, cost, listed := 0.0, 0.0, 0.0
 	for _, p := range q.parts {
-		if cost += p.cost; len(b.holdersOf(p.Shard)) > 0 {
+		if cost += p.cost; slices.ContainsFunc(b.holdersOf(p.Shard), func(r *replica) bool {
+			return b.opens(now, r, p.cost) <= now+openAim*q.class.Aim
+		}) {
 			listed += p.Weight
 		}
 		worst = max(worst, now-b.held(p.Shard, now))
@@ -353,7 +355,7 @@
 	if shed && (b.load > room || worst > 0) {
 		b.jamAt = now
 	}
-	// What the list names no holders for is not waited for: the client can come back.
+	// What has no holder, or none that opens soon, is not waited for: the client can come back.
 	if shed || len(q.parts) == 0 || q.step == 0 && listed < q.class.Floor-weightSlack ||
 		now >= q.Deadline-b.spare {
 		b.finish(now, q)
@@ -497,7 +499,7 @@
 	var bestKey [3]float64
 	dear := b.dear()
 	for _, r := range b.holdersOf(shard) {
-		if !b.lawful(now, r, cost) {
+		if b.opens(now, r, cost) > now {
 			continue
 		}
 		level := b.levelOf(now, r)
@@ -534,52 +536,52 @@
 
 // paced tells whether a part may go to a replica above its usual level that has nothing of ours out: among
 // many peers that alone keeps its queue full, so each sends one part in the time in which the replica serves
-// one of everybody's. Guards a shard whose replicas are all slow or jammed; no pace where the fleet is slow.
-// An even pace may hold back the one co-ordinator that has most of the traffic.
+// one of everybody's. Guards a shard whose replicas are all jammed; may hold back who has most traffic.
 func (b *Balancer) paced(now float64, r *replica, level float64) bool {
 	return b.s.Peers <= fewPeers || level <= jamLevel*b.fleet || now >= r.used+b.usual*float64(b.s.Peers)/jamPace
 }
 
-// lawful is what the rules of drains and cold replicas allow.
-func (b *Balancer) lawful(now float64, r *replica, cost float64) bool {
-	left, need := b.coldLeft(now, r, cost)
-	return r.State != Gone && now <= r.informed+b.s.DrainGrace/2 && left >= need
-}
-
 // warm tells that no cold start of a replica is known, or that it is over.
 func (b *Balancer) warm(now float64, r *replica) bool {
 	return b.s.FallMultiple*b.s.FallFor <= 0 || r.warmFrom <= 0 || now >= r.warmFrom+b.s.ColdFor+b.s.FallFor
 }
 
-// coldLeft is what is left, in ms of work, of our share of a cold replica's allowance; it is taken for as
-// cold as half a window ago. A small share is rounded to whole parts by a turn that is spread evenly over
-// the peers and moves with the replica's age, once round by the end of its ramp: together they have the
-// allowance in any window. Few of many such shares are used up, so they grow while the replica answers as
-// others do.
-func (b *Balancer) coldLeft(now float64, r *replica, cost float64) (left, need float64) {
-	if need = b.coldWork(cost); b.warm(now, r) {
-		return math.Inf(1), need
-	}
-	if now < b.born+b.s.FallFor || b.handed {
-		return 0, need // what it sent before a restart is forgotten, and still counts
-	}
-	age, ramp := max(0, now-r.warmFrom-b.s.FallFor/2), max(b.s.ColdFor, 1)
-	left = coldShare * b.cores * b.s.FallMultiple * b.s.FallFor / float64(b.s.Peers) *
-		(b.s.ColdFrom + (1-b.s.ColdFrom)*min(1, age/ramp))
-	if part := b.coldWork(1); left < coldGrant*part {
-		need = part
-		if r.level.at > r.warmFrom && b.levelOf(now, r) < coldEasy*b.fleet {
-			left = min(coldTrust*left, coldGrant*part)
+// opens is when the rules of drains and cold replicas let a part go to a replica, by what is known now of its
+// drain, its start and what we sent it; never if our share of its allowance is less.
+func (b *Balancer) opens(now float64, r *replica, cost float64) float64 {
+	switch warm := b.warm(now, r); {
+	case r.State == Gone || now > r.informed+b.s.DrainGrace/2 || b.handed && !warm:
+		return math.Inf(1)
+	case warm:
+		return now
+	case now < b.born+b.s.FallFor: // what it sent before a restart is forgotten, and still counts
+		return b.born + b.s.FallFor
+	}
+	left, need := b.coldMay(now, r, cost)
+	for i := len(r.cold) - 1; left >= need; i-- {
+		if i < 0 || r.cold[i].at < now-b.s.FallFor {
+			return now
 		}
-		turn := math.Mod(float64(b.s.Me)/float64(b.s.Peers)+float64(r.Replica)*coldStride+age/ramp, 1)
-		left = math.Floor(max(left/part-b.s.FallFor/ramp, left/part/2)+turn) * part
-	}
-	for _, w := range r.cold {
-		if w.at >= now-b.s.FallFor {
-			left -= w.v
+		if left -= r.cold[i].v; left < need {
+			return r.cold[i].at + b.s.FallFor + b.s.Tick
 		}
 	}
-	return left, need
+	return math.Inf(1)
+}
+
+// coldMay is our share of a cold replica's allowance in any window, in ms of work; it is taken for as cold as
+// half a window ago. A small share is rounded to whole parts by a turn that is spread evenly over the peers:
+// together they have the allowance. need is the part's work, or one where parts are counted.
+func (b *Balancer) coldMay(now float64, r *replica, cost float64) (may, need float64) {
+	age := max(0, now-r.warmFrom-b.s.FallFor/2)
+	one := b.s.FallMultiple * b.s.FallFor * (b.s.ColdFrom + (1-b.s.ColdFrom)*min(1, age/max(b.s.ColdFor, 1)))
+	may = b.cold.Share(coldShare*b.cores*one/float64(b.s.Peers), one)
+	if need = b.coldWork(cost); may < coldGrant*b.coldWork(1) {
+		need = b.coldWork(1)
+		turn := math.Mod(float64(b.s.Me)/float64(b.s.Peers)+float64(r.Replica)*coldStride, 1)
+		may = math.Floor(may/need+turn) * need
+	}
+	return may, need
 }
 
 // work is what a part is taken for, in ms: the mean hint or, should hints be untrue, what latencies say.
@@ -597,9 +599,8 @@
 	return cmp.Or(work, coldUnit) * max(cost, 1)
 }
 
-// fit tells whether a replica is to be used as usual. Peers are the measure: where all are slow none is a
-// suspect. Guards against slow, stalled, failing and unreachable replicas; may starve an unlucky one until
-// that fades.
+// fit tells whether a replica is to be used as usual, by how its peers do. Guards against slow, stalled,
+// failing and unreachable replicas; may starve an unlucky one until that fades.
 func (b *Balancer) fit(now float64, r *replica) bool {
 	level := b.levelOf(now, r)
 	return r.State == Ready && b.fade(r.fail, now) < failSuspect && b.wayOf(now, r.Zone) < slowWay*b.bestWay &&
@@ -607,9 +608,9 @@
 }
 
 // tried learns from an answer or a part given up, x times the usual latency, whether a replica stood still or
-// is slow. What was sent to one that stands comes back late all at once, or is cancelled as its copies
-// answer; a part sent after that is a trial, and one at usual latency ends the suspicion at once. After each
-// slow trial the next waits twice as long. Guards sound replicas against being left after a pause of 200 ms.
+// is slow. What one that stands held comes back late at once, or is cancelled as its copies answer; a part
+// sent after that is a trial, and one at usual latency ends the suspicion at once. After each slow trial the
+// next waits twice as long. Guards sound replicas against being left after a pause of 200 ms.
 func (b *Balancer) tried(now float64, a *attempt, x float64) {
 	r := a.r
 	if x < slowSuspect*b.fleet {
@@ -701,6 +702,9 @@
 	switch res.Outcome {
 	case OK:
 		x := res.Latency / b.callCost(a)
+		if b.warm(now, r) {
+			b.cold.Served(b.coldWork(a.part.cost))
+		}
 		b.usual = b.quantile(x)
 		if b.calm += (b.usual - b.calm) * calmGain; b.usual < b.calm || len(b.first) < usualFirst {
 			b.calm = b.usual // of the first few samples it may be far too low
@@ -875,7 +879,8 @@
 }
 
 // again makes a further attempt at a part: a second copy of a late one, or a new try after a failure. It goes
-// past the queues but only to a replica that would not be held against, so retries cannot feed a jam.
+// past the queues but only to a replica that would not be held against, so retries cannot feed a jam; nor can
+// copies, where something is held at the part's own replicas or the whole fleet is slow.
 func (b *Balancer) again(now float64, p *part, second bool) bool {
 	// The last try is kept for later: guards against a dead set using up all tries in a moment.
 	n := len(p.attempts)
@@ -883,7 +888,7 @@
 		return false
 	}
 	if n >= 2 && n == b.s.MaxAttempts-1 && now < p.q.arrived+hedgeAim*p.q.class.Aim || !b.mayRepeat(now, p) ||
-		second && (b.jammed(now, p) ||
+		second && (b.held(p.Shard, now) < now || b.median > slowFleet && now < b.jamAt+jamFor ||
 			b.copies.since(now-hedgeWindow) >= hedgeFree+hedgeShare*b.taken.since(now-hedgeWindow)) {
 		return false
 	}
@@ -925,12 +930,6 @@
 	return true
 }
 
-// jammed tells that a second copy of a part would feed a jam: something is held at its replicas, or the whole
-// fleet is slow. One set of replicas that is short is no reason to lose what is late elsewhere.
-func (b *Balancer) jammed(now float64, p *part) bool {
-	return b.held(p.Shard, now) < now || b.median > slowFleet && now < b.jamAt+jamFor
-}
-
 // mayRepeat is the rule of effects: what a further attempt at a part needs.
 func (b *Balancer) mayRepeat(now float64, p *part) bool {
 	for _, a := range p.attempts {
@@ -945,7 +944,7 @@
 // send starts an attempt. Every attempt passes here, and every rule on sending is checked here.
 func (b *Balancer) send(now float64, p *part, r *replica) bool {
 	q, left := p.q, p.q.Deadline-b.spare-now
-	if q.ended || p.in || left <= 0 || !b.lawful(now, r, p.cost) {
+	if q.ended || p.in || left <= 0 || b.opens(now, r, p.cost) > now {
 		return false
 	}
 	if len(p.attempts) > 0 {
@@ -967,8 +966,8 @@
 		idle = 0
 	}
 	r.used = now
-	r.cold = append(r.cold, stamp{now, b.coldWork(p.cost)})
-	r.cold = slices.DeleteFunc(r.cold, func(w stamp) bool { return w.at < now-b.s.FallFor })
+	r.cold = append(slices.DeleteFunc(r.cold, func(w stamp) bool { return w.at < now-b.s.FallFor }),
+		stamp{now, b.coldWork(p.cost)})
 	c := r.turnCall
 	if r.turn != b.turn || c == nil || c.size >= b.s.PerCall || c.left == 0 {
 		c = &callOut{}
--- a/balance/mass_test.go
+++ b/balance/mass_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+
+	"ternstage/internal/fleet/share"
 )
 
 // TestTooLittleTimeIsRefusedAtTheDoorOfMany: one of 300 holds nothing when a query comes, and the fleet takes 160 ms
@@ -83,3 +85,32 @@
 		assert.Equal(t, !slow, moved > 0, "%d moved, slow %v", moved, slow)
 	}
 }
+
+// TestClosedShardIsRefusedAtOnce: all replicas of a shard are cold and their allowance, or its turn, is another's. What
+// needs it is refused at the door with advice, and what does not is served; a broker of the first turns has it served.
+func TestClosedShardIsRefusedAtOnce(t *testing.T) {
+	ends := map[string]int{}
+	for me := range 300 {
+		s := settings()
+		s.Peers, s.Me, s.FallMultiple = 300, me, 10
+		g := newRig(t, s)
+		g.fleet(ListFull)
+		g.warm()
+		g.pass(2000, g.after(40))
+		g.b.cold = share.NewCold(300) // with its even share, under a tenth of a part
+		for i := 1; i <= 3; i++ {
+			g.list(ListDelta, Entry{Replica: uint32(i), Cell: i - 1, State: Ready, ReadyAt: g.now})
+		}
+		closed, open := g.query(0, 0), g.query(0, 3) // held by 1 to 3, and by 4 to 6
+		g.turn()
+		if closed.how == "refuse" {
+			assert.Positive(t, g.refused[closed.q.ID], "with advice")
+		}
+		g.pass(200, g.after(40))
+		assert.Equal(t, "answer", open.how)
+		ends[closed.how]++
+	}
+	assert.Greater(t, ends["refuse"], 150, ends)
+	assert.Greater(t, ends["answer"], 10, ends)
+	assert.Equal(t, 300, ends["refuse"]+ends["answer"], "none waits: %v", ends)
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -36,6 +36,7 @@
 	lastEnd, gap         float64   // time of the last result and mean time between them
 	idleLost             stamp     // share of sends on idle connections that were lost lately
 	sum                  share.Throttle
+	cold                 share.Cold
 	load, room, cutAt    float64       // cost out in all; what of it the fleet carries at its usual level; cut
 	admitted, median     float64       // when the last query was let in; the level that tells overload
 	ways                 map[int]stamp // by zone: the level of what comes from there, above 1
@@ -158,6 +159,16 @@
 	return 1
 }
 
+// countWarm is how many replicas are listed as ready and known to be warm, at the time of the last turn.
+func (b *Balancer) countWarm(now float64) (n int) {
+	for _, r := range b.order {
+		if r.State == Ready && b.warm(now, r) {
+			n++
+		}
+	}
+	return n
+}
+
 func (a *attempt) mayHaveRun() bool { return !a.ended || a.outcome < Full }
 
 func (p *part) tried(r *replica) bool {
--- a/internal/fleet/share/throttle.go
+++ b/internal/fleet/share/throttle.go
@@ -5,8 +5,8 @@
 const (
 	few    = 4    // brokers up to which own results by node tell more, and nothing is turned away here
 	rise   = 0.02 // of the logarithm of what is let in, for each work taken
-	fall   = 0.05 // the same for each turned away: at rest rise/(rise+fall), two in seven, are
-	least  = 0.25 // share that is let in at least: what tells that the fleet has room again
+	fall   = 0.08 // the same for each turned away: at rest rise/(rise+fall), a fifth, are
+	least  = 0.1  // share that is let in at least: what tells that the fleet has room again
 	atOnce = 64.0 // work: a part counts for no more
 	last   = 2.0  // x what a part takes in the fleet now: what the only part of a query needs, tries included
 	spread = 0.5  // of that more for each factor e of parts: the last of many takes longest
