The lab keeps what many brokers did by moment, node and broker; hard cases of 300 are tests

Need: the sum of many choices was one figure a run. A same suspicion of 80 at one moment is one in balance.

--- a/balance/mass_test.go
+++ b/balance/mass_test.go
@@ -114,3 +114,29 @@
 	assert.Greater(t, ends["answer"], 10, ends)
 	assert.Equal(t, 300, ends["refuse"]+ends["answer"], "none waits: %v", ends)
 }
+
+// TestSameSuspicionAtOnce: 80 co-ordinators see one sound replica stand still for 400 ms at the same moment. All leave it;
+// it is not left for long, and they do not come back to it all at once.
+func TestSameSuspicionAtOnce(t *testing.T) {
+	f := newFleet(t, 80)
+	f.run(5000, 60, 6)
+	r := f.replicas[0]
+	per := func(ms float64) float64 { // parts sent to it in so long, by what a neighbour gets
+		r.sent, f.replicas[3].sent = 0, 0
+		f.run(ms, 60, 6)
+		return float64(r.sent) / max(1, float64(f.replicas[3].sent))
+	}
+	before := per(2000)
+	r.busy = f.now + 400
+	_ = per(1000)
+	back, most := -1, 0.0
+	for i := range 12 {
+		x := per(500)
+		if most = max(most, x); back < 0 && x > 0.5*before {
+			back = i
+		}
+	}
+	t.Logf("%.2f of a neighbour's before, back to half of that %d ms after, %.2f at most", before, back*500, most)
+	assert.True(t, back >= 0 && back <= 6, "left for %d half seconds", back)
+	assert.Less(t, most, 2.5*before, "all came back at once")
+}
--- a/cmd/ternlab/main.go
+++ b/cmd/ternlab/main.go
@@ -18,6 +18,7 @@
 
 	"ternstage/experiments"
 	"ternstage/internal/lab/exp"
+	"ternstage/internal/lab/ledger"
 	"ternstage/internal/lab/result"
 	"ternstage/internal/lab/world"
 )
@@ -45,12 +46,12 @@
 				return err
 			}
 			var s result.Summary
-			var points []result.Point
+			var of course
 			switch mode {
 			case "sim":
-				s, points = play(c, e, seed, runs)
+				s, of = play(c, e, seed, runs)
 			case "live":
-				if s, points, err = playLive(c, e, seed, binary, wire); err != nil {
+				if s, of, err = playLive(c, e, seed, binary, wire); err != nil {
 					return err
 				}
 			default:
@@ -58,9 +59,14 @@
 			}
 			if out != "" {
 				if err := errors.Join(result.Write(out, s), result.WriteRuns(out, s),
-					result.WriteSeries(out, points)); err != nil {
+					result.WriteSeries(out, of.points)); err != nil {
 					return err
 				}
+				if of.fleet != nil {
+					if err := result.WriteFleet(out, of.fleet); err != nil {
+						return err
+					}
+				}
 			}
 			c.Print(s.Table())
 			passed, faults := s.Judge(e.Expect)
@@ -87,7 +93,8 @@
 // defaults are the external variables where none are given.
 var defaults = map[string]string{"every": "2000", "arm": "follow", "seconds": "60", "rate": "200",
 	"stand": "1", "slow": "1", "vanish": "1", "down": "1", "drain": "1", "broker": "1", "zone_cut": "1",
-	"silent": "1", "pause": "1"}
+	"silent": "1", "pause": "1", "brokers": "300", "nodes": "200", "join": "1", "herd": "0", "zone": "0", "roll": "0",
+	"hot": "1", "idle": "0", "told": "0", "apart": "0", "jump": "0"}
 
 func load(path string, vars []string) (*exp.Experiment, error) {
 	all := map[string]string{}
@@ -104,9 +111,14 @@
 	return exp.Load(path, all)
 }
 
-// play plays the seeds side by side, one to a core. points are the course of a single one.
-func play(c *cobra.Command, e *exp.Experiment, seed uint64, runs int) (_ result.Summary,
-	points []result.Point) {
+// course is how a single run went; several have none.
+type course struct {
+	points []result.Point
+	fleet  *ledger.Ledger
+}
+
+// play plays the seeds side by side, one to a core.
+func play(c *cobra.Command, e *exp.Experiment, seed uint64, runs int) (_ result.Summary, of course) {
 	all := make([]result.Summary, max(runs, 1))
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -121,11 +133,15 @@
 				if len(all) > 1 {
 					return
 				}
-				if points = append(points, result.PointOf(second, r)); second%10 == 0 {
+				if of.points = append(of.points, result.PointOf(second, r)); second%10 == 0 {
 					line(c, second, r)
 				}
 			}
-			s := world.New(e, seed+uint64(i)).Run(tick)
+			w := world.New(e, seed+uint64(i))
+			s := w.Run(tick)
+			if len(all) == 1 {
+				of.fleet = w.Ledger()
+			}
 			s.Seed = seed + uint64(i)
 			all[i] = s
 			mu.Lock()
@@ -136,37 +152,38 @@
 		}()
 	}
 	wg.Wait()
-	return result.Sum(all), points
+	return result.Sum(all), of
 }
 
 // playLive plays one seed against the built program.
 func playLive(c *cobra.Command, e *exp.Experiment, seed uint64, binary, wire string) (_ result.Summary,
-	points []result.Point, _ error) {
+	of course, _ error) {
 	if wire != "frames" && wire != "flight" {
-		return result.Summary{}, nil, fmt.Errorf("--wire %s: frames or flight", wire)
+		return result.Summary{}, of, fmt.Errorf("--wire %s: frames or flight", wire)
 	}
 	dir, err := os.MkdirTemp("", "ternlab")
 	if err != nil {
-		return result.Summary{}, nil, err
+		return result.Summary{}, of, err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s, err := world.New(e, seed).RunLive(ctx, world.LiveOptions{Binary: binary, Dir: dir,
+	w := world.New(e, seed)
+	s, err := w.RunLive(ctx, world.LiveOptions{Binary: binary, Dir: dir,
 		Flight: wire == "flight"},
 		func(second int, r result.Summary) {
-			if points = append(points, result.PointOf(second, r)); second%5 == 0 {
+			if of.points = append(of.points, result.PointOf(second, r)); second%5 == 0 {
 				line(c, second, r)
 			}
 		})
-	s.Seed = seed
+	s.Seed, of.fleet = seed, w.Ledger()
 	if err != nil {
-		return s, points, fmt.Errorf("%w (logs in %s)", err, dir)
+		return s, of, fmt.Errorf("%w (logs in %s)", err, dir)
 	}
 	if s.Broken() > 0 {
 		c.PrintErrln("the brokers' logs are in", dir)
-		return s, points, nil
+		return s, of, nil
 	}
-	return s, points, os.RemoveAll(dir)
+	return s, of, os.RemoveAll(dir)
 }
 
 // line is a line of progress.
--- a/experiments/mass.jsonnet
+++ b/experiments/mass.jsonnet
@@ -1,6 +1,8 @@
 // Hundreds of brokers that share nothing, before a large fleet, each with little traffic. Variables: seconds, rate,
 // brokers, nodes; and what happens, 1 or 0: join (six in ten nodes are replaced within 7 s), herd (seven in ten
 // brokers are killed at once), zone (one of three zones is cut off), roll (half of the nodes are replaced in steps).
+// hot: what the first broker is asked for, by the mean; idle: the share of brokers asked for nothing; told: how many
+// brokers each is told there are, 0 for the truth; apart, jump: ms by which clocks are off, and the first broker's.
 local on(name) = std.extVar(name) != '0';
 local number(name) = std.parseJson(std.extVar(name));
 local brokers = number('brokers');
@@ -19,6 +21,9 @@
   rate: number('rate'),
   tries: 4,
   retries: 2,
+  [if number('told') > 0 then 'told_brokers']: number('told'),
+  traffic: { hot: number('hot'), idle: number('idle') },
+  clocks: { apart: number('apart'), jump: number('jump') },
   classes: [
     { name: 'quote', effect: 'read_like', share: 0.7, parts: [std.min(18, nodes), std.min(18, nodes)], work: [18, 28], aim: 400, deadline: 1000, worth: 1, late_worth: 0.2 },
     { name: 'bind', effect: 'non_idempotent', share: 0.12, parts: [1, 1], work: [18, 28], aim: 400, deadline: 1000, worth: 1, late_worth: 0.2 },
--- a/internal/lab/exp/exp.go
+++ b/internal/lab/exp/exp.go
@@ -60,13 +60,22 @@
 	Retries   int     `json:"retries"`
 	History   int     `json:"history"` // retired slices that a broker remembers; 0: as many as the product
 	Client    Span    `json:"client_news_ms"`
-	Zones     int     `json:"zones"`  // nodes and brokers stand in so many, in turn
-	Cross     Span    `json:"cross"`  // ms one way between them
-	Copies    bool    `json:"copies"` // a second copy may be out while the first runs, where a repeat is safe
-	Pushed    bool    `json:"pushed"` // the list is pushed to an agent beside each broker
-	Script    []Event `json:"script"` // what goes wrong when, besides what is drawn
-	Classes   []Class `json:"classes"`
-	Node      struct {
+	Zones     int     `json:"zones"`        // nodes and brokers stand in so many, in turn
+	Cross     Span    `json:"cross"`        // ms one way between them
+	Copies    bool    `json:"copies"`       // a second copy may be out while the first runs, where a repeat is safe
+	Pushed    bool    `json:"pushed"`       // the list is pushed to an agent beside each broker
+	Script    []Event `json:"script"`       // what goes wrong when, besides what is drawn
+	Told      int     `json:"told_brokers"` // how many brokers each is told there are; 0: as many as there are
+	Traffic   struct {
+		Hot  float64 `json:"hot"`  // x the mean: what the first broker is asked for; 0: as the others
+		Idle float64 `json:"idle"` // share of the brokers, the last ones, that are asked for nothing
+	} `json:"traffic"`
+	Clocks struct {
+		Apart float64 `json:"apart"` // ms: brokers' clocks are up to so far from the true time
+		Jump  float64 `json:"jump"`  // ms by which the first broker's is ahead
+	} `json:"clocks"`
+	Classes []Class `json:"classes"`
+	Node    struct {
 		Cores        int     `json:"cores"`
 		Room         int     `json:"room"`
 		ColdFrom     float64 `json:"cold_from"`
@@ -202,7 +211,8 @@
 
 // Settings are what a broker's module is told.
 func (e *Experiment) Settings(me int, layout balance.Layout) balance.Settings {
-	s := balance.Settings{Me: me, Peers: e.Brokers, Tick: 5, Shards: e.Slices, Cells: e.Nodes, Reach: e.Reach,
+	told := e.ToldBrokers()
+	s := balance.Settings{Me: me % told, Peers: told, Tick: 5, Shards: e.Slices, Cells: e.Nodes, Reach: e.Reach,
 		Zone: e.ZoneOf(me), SecondCopies: e.Copies,
 		Layout: layout, PerCall: 1, MustAsk: !e.Pushed, AskWithin: 10_000, Cancel: true, MaxAttempts: e.Tries,
 		MaxRetryAfter: 1000, DrainGrace: 1000, ColdFrom: e.Node.ColdFrom, ColdFor: e.Node.Warm,
@@ -219,6 +229,22 @@
 	return s
 }
 
+// ToldBrokers is how many brokers each is told there are.
+func (e *Experiment) ToldBrokers() int {
+	if e.Told > 0 {
+		return e.Told
+	}
+	return e.Brokers
+}
+
+// ClockOf is by how much a broker's clock is ahead of the true time, in ms.
+func (e *Experiment) ClockOf(broker int) float64 {
+	if broker == 0 && e.Clocks.Jump != 0 {
+		return e.Clocks.Jump
+	}
+	return e.Clocks.Apart * (2*float64(broker*67%e.Brokers)/float64(e.Brokers) - 1)
+}
+
 // ZoneOf is the zone of the node or broker of that number.
 func (e *Experiment) ZoneOf(i int) int { return i % e.Zones }
 
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -25,23 +25,64 @@
 	return c.Used / c.May
 }
 
-// Ledger is the counts of a run. Its memory is one entry for each broker.
+// Moment is what was counted in some time from At on, in ms.
+type Moment struct {
+	At, For             float64
+	Cold                Cold
+	Sent, Busy, Refused int // parts, and queries
+}
+
+// Node is what became of a node while it was cold.
+type Node struct {
+	Cold
+	Users   map[int]bool // brokers that sent it something
+	Refused int          // parts that it turned away
+}
+
+// mostMoments bounds the moments that are kept: beyond it two become one.
+const mostMoments = 1024
+
+// Ledger is the counts of a run. Its memory is one entry for each broker, for each node that was cold with at
+// most one for each broker in it, and mostMoments.
 type Ledger struct {
 	Brokers []Broker
+	Nodes   map[string]*Node
+	Moments []Moment
 	All     Cold // over the whole run
 	Short   Cold // of the steps in which a query was refused
-	step    Cold
-	refused bool
+	now     Moment
+	width   int // steps in a moment
+	steps   int
 }
 
 // New makes a ledger for so many brokers.
-func New(brokers int) *Ledger { return &Ledger{Brokers: make([]Broker, brokers)} }
+func New(brokers int) *Ledger {
+	return &Ledger{Brokers: make([]Broker, brokers), Nodes: map[string]*Node{}, width: 1}
+}
+
+// node is a cold node's entry.
+func (l *Ledger) node(name string) *Node {
+	n := l.Nodes[name]
+	if n == nil {
+		n = &Node{Users: map[int]bool{}}
+		l.Nodes[name] = n
+	}
+	return n
+}
 
 // Sent notes a part that a broker sent.
-func (l *Ledger) Sent(broker int) { l.Brokers[broker].Sent++ }
+func (l *Ledger) Sent(broker int) {
+	l.Brokers[broker].Sent++
+	l.now.Sent++
+}
 
-// Busy notes that a part was turned away.
-func (l *Ledger) Busy(broker int) { l.Brokers[broker].Busy++ }
+// Busy notes that a part was turned away, by the cold node of that name, or by a warm one if it is empty.
+func (l *Ledger) Busy(broker int, cold string) {
+	l.Brokers[broker].Busy++
+	if l.now.Busy++; cold != "" {
+		l.node(cold).Refused++
+	}
+}
 
 // Answered notes an answered query of a broker.
 func (l *Ledger) Answered(broker int) { l.Brokers[broker].Answered++ }
@@ -49,23 +90,61 @@
 // Refused notes a refusal; the step counts as one in which nodes were short.
 func (l *Ledger) Refused(broker int) {
 	l.Brokers[broker].Refused++
-	l.refused = true
+	l.now.Refused++
 }
 
 // Failed notes a failure.
 func (l *Ledger) Failed(broker int) { l.Brokers[broker].Without++ }
 
-// Cold notes work that reached a cold node.
-func (l *Ledger) Cold(work float64) { l.step.Used += work }
+// Cold notes work that reached a cold node from a broker.
+func (l *Ledger) Cold(node string, broker int, work float64) {
+	l.now.Cold.Used += work
+	n := l.node(node)
+	n.Used += work
+	n.Users[broker] = true
+}
+
+// May notes that a cold node might be sent so much work in this step.
+func (l *Ledger) May(node string, work float64) {
+	l.now.Cold.May += work
+	l.node(node).May += work
+}
 
-// Step ends a step, in which cold nodes might have been sent so much work in all.
-func (l *Ledger) Step(may float64) {
-	l.step.May = may
-	l.All = Cold{l.All.Used + l.step.Used, l.All.May + l.step.May}
-	if l.refused {
-		l.Short = Cold{l.Short.Used + l.step.Used, l.Short.May + l.step.May}
+// Step ends a step of so many ms.
+func (l *Ledger) Step(at, took float64) {
+	m := l.now
+	l.All = l.All.and(m.Cold)
+	if m.Refused > 0 {
+		l.Short = l.Short.and(m.Cold)
 	}
-	l.step, l.refused = Cold{}, false
+	l.now = Moment{}
+	m.At, m.For = at, took
+	if l.steps%l.width == 0 {
+		if len(l.Moments) == mostMoments {
+			l.halve()
+		}
+		l.Moments = append(l.Moments, m)
+	} else {
+		last := &l.Moments[len(l.Moments)-1]
+		*last = last.and(m)
+	}
+	l.steps++
+}
+
+// halve makes one moment of two, and of all that follow as long ones.
+func (l *Ledger) halve() {
+	for i := range len(l.Moments) / 2 {
+		l.Moments[i] = l.Moments[2*i].and(l.Moments[2*i+1])
+	}
+	l.Moments = l.Moments[:len(l.Moments)/2]
+	l.width *= 2
+}
+
+func (c Cold) and(o Cold) Cold { return Cold{c.Used + o.Used, c.May + o.May} }
+
+// and is two moments as one, of which the first came first.
+func (m Moment) and(o Moment) Moment {
+	return Moment{m.At, m.For + o.For, m.Cold.and(o.Cold), m.Sent + o.Sent, m.Busy + o.Busy, m.Refused + o.Refused}
 }
 
 // BusyParts is how many parts were turned away, and their share of those sent.
--- a/internal/lab/result/charts.go
+++ b/internal/lab/result/charts.go
@@ -138,7 +138,7 @@
 		return err
 	}
 	var charts []string
-	for _, name := range []string{"ends.svg", "worth.svg", "seeds.svg"} {
+	for _, name := range []string{"ends.svg", "worth.svg", "seeds.svg", coldChart, brokersChart} {
 		if _, err := os.Stat(filepath.Join(dir, name)); err == nil {
 			charts = append(charts, name)
 		}
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -389,13 +389,13 @@
 // account counts what cold nodes might have been sent since the last time: so much of what they can do now
 // as a node stands without falling.
 func (f *fleet) account() {
-	s, may := f.sim, 0.0
+	s := f.sim
 	for _, n := range f.nodes {
 		if n.Cold(s.now) && !n.Fallen && n.Trouble != model.Down && n.Trouble != model.Drain {
-			may += s.e.Node.FallMultiple * n.Capacity(s.now) * ledgerStep
+			s.sums.May(n.ID, s.e.Node.FallMultiple*n.Capacity(s.now)*ledgerStep)
 		}
 	}
-	if s.sums.Step(may); s.now < s.end {
+	if s.sums.Step(s.now-ledgerStep-origin, ledgerStep); s.now < s.end {
 		s.at(s.now+ledgerStep, f.account)
 	}
 }
@@ -407,11 +407,21 @@
 func (n *node) arrive(j *model.Job) {
 	s := n.sim
 	s.check.Came(j.Query, j.Districts)
+	cold := ""
 	if n.Cold(s.now) && n.Trouble != model.Drain {
-		s.sums.Cold(j.Work)
+		cold = n.ID
 	}
 	fallen := n.Fallen
 	end, done := n.Arrive(s.now, j)
+	if q := s.queries[j.Query]; q != nil && q.b != nil {
+		s.sums.Sent(q.b.number())
+		if cold != "" {
+			s.sums.Cold(cold, q.b.number(), j.Work)
+		}
+		if end == model.Busy {
+			s.sums.Busy(q.b.number(), cold)
+		}
+	}
 	switch {
 	case n.Fallen && !fallen:
 		s.check.Fell(n.ID, n.Cold(s.now))
--- a/internal/lab/world/live.go
+++ b/internal/lab/world/live.go
@@ -379,7 +379,7 @@
 		"seed":   fmt.Sprintf("%016x", b.world.seed+uint64(b.index)*7919+uint64(b.gen)),
 		"limits": map[string]any{"cores": 1, "memory_mb": memoryMB, "sockets": filesMost},
 		"known":  b.known,
-		"settings": map[string]any{"areas": zones, "balancers": e.Brokers, "me": b.index,
+		"settings": map[string]any{"areas": zones, "balancers": e.ToldBrokers(), "me": b.index % e.ToldBrokers(),
 			"zone":          e.ZoneOf(b.index),
 			"resolution_ms": 5, "callers": map[string]any{"marks_retry": true}, "discovery": mode,
 			"categories": classes, "customers": []any{},
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -238,6 +238,9 @@
 		}
 	}
 	started := n.Started
+	if started > 0 {
+		started += s.e.ClockOf(b.index) // by which it takes the list's time for its own
+	}
 	if s.Fault.HideStart {
 		started = 0
 	}
@@ -443,7 +446,6 @@
 func (f *sending) launch() {
 	s := f.b.sim
 	s.check.Sent(s.now, f.b.name, f.node.ID)
-	s.sums.Sent(f.b.index)
 	f.b.out = append(f.b.out, f)
 	f.comes = s.now + s.way(f.b.zone, f.node.zone)
 	s.at(f.comes, f.arrive)
@@ -478,8 +480,6 @@
 	case model.Err:
 		f.ends(balance.Failed, nil)
 	case model.Busy:
-		s := f.b.sim
-		s.sums.Busy(f.b.index)
 		f.ends(balance.Full, nil)
 	case model.Moved:
 		f.a.NodeEpoch = f.node.Epoch()
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -210,6 +210,9 @@
 	return r
 }
 
+// Ledger is what all brokers together have done so far.
+func (s *World) Ledger() *ledger.Ledger { return s.sums }
+
 // query is what a client asked and what became of it. It implements core.Client.
 type query struct {
 	sim   *World
@@ -260,9 +263,12 @@
 // send gives a query to a broker that is up, if there is one.
 func (s *World) send(q *query, epoch uint64) {
 	s.byID++
-	first := s.byID
-	for i := range s.brokers {
-		if b := s.brokers[(first+i)%len(s.brokers)]; b.up() {
+	first, asked := s.byID, len(s.brokers)-int(s.e.Traffic.Idle*float64(len(s.brokers)))
+	if hot := s.e.Traffic.Hot; hot > 1 && s.load.Float64()*float64(asked) < hot {
+		first = 0
+	}
+	for i := range asked {
+		if b := s.brokers[(first+i)%asked]; b.up() {
 			q.b, q.gen = b, b.process()
 			break
 		}
--- a/test/fleet/mass_test.go
+++ b/test/fleet/mass_test.go
@@ -14,7 +14,8 @@
 // mass is the experiment of that name at a size, with what happens switched on.
 func mass(t *testing.T, size map[string]string, on ...string) *exp.Experiment {
 	t.Helper()
-	vars := map[string]string{"join": "0", "herd": "0", "zone": "0", "roll": "0"}
+	vars := map[string]string{"join": "0", "herd": "0", "zone": "0", "roll": "0", "hot": "1", "idle": "0", "told": "0",
+		"apart": "0", "jump": "0"}
 	for k, v := range size {
 		vars[k] = v
 	}
@@ -47,3 +48,51 @@
 	assert.Positive(t, s.ColdUsed, "cold nodes are used")
 	assert.Greater(t, s.Fairness, 0.9, "brokers fare alike")
 }
+
+// TestHardCasesAmongMany: what each of many brokers takes for true is not, or their traffic is as uneven as can be, while
+// six in ten nodes are replaced. No node is pushed over by what all send together, and nothing else is broken.
+func TestHardCasesAmongMany(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		size  map[string]string
+		on    []string
+		more  []exp.Event
+		worth float64
+		fair  float64
+	}{
+		"one is asked ten times the mean, a tenth nothing": {size: map[string]string{"hot": "10", "idle": "0.1"},
+			on: []string{"join"}, worth: 0.5, fair: 0.85},
+		"told 300, 90 are there":          {size: map[string]string{"brokers": "90", "told": "300"}, on: []string{"join"}, worth: 0.5, fair: 0.9},
+		"told 90, 300 are there":          {size: map[string]string{"brokers": "300", "told": "90"}, on: []string{"join"}, worth: 0.5, fair: 0.8},
+		"clocks apart, one by a second":   {size: map[string]string{"apart": "50", "jump": "1000"}, on: []string{"join"}, worth: 0.5, fair: 0.85},
+		"thirty start at once, ten twice": {more: atOnce(30, 10), worth: 0.6, fair: 0.85},
+		"a third cut off with their zone": {on: []string{"join", "zone"}, worth: 0.3, fair: 0.7},
+		"most killed while most nodes go": {on: []string{"join", "herd"}, worth: 0.4, fair: 0.8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			size := map[string]string{"brokers": "150", "nodes": "100", "seconds": "14", "rate": "250"}
+			for k, v := range c.size {
+				size[k] = v
+			}
+			e := mass(t, size, c.on...)
+			e.Script = append(e.Script, c.more...)
+			s := world.New(e, 5).Run(nil)
+			t.Logf("worth %.3f, fairness %.3f, cold use %.3f, busy %.4f", s.Worth, s.Fairness, s.ColdUsed, s.BusyShare)
+			assert.Zero(t, s.Broken(), s.Notes)
+			assert.Greater(t, s.Worth, c.worth)
+			assert.Greater(t, s.Fairness, c.fair)
+		})
+	}
+}
+
+// atOnce is so many nodes that drain and are replaced at one moment, of which the first few start once more 3 s later.
+func atOnce(nodes, twice int) (script []exp.Event) {
+	for i := range nodes {
+		script = append(script, exp.Event{At: 4000, For: 1000, Kind: "drain", On: i * 3 % 100})
+	}
+	for i := range twice {
+		script = append(script, exp.Event{At: 8000, For: 500, Kind: "down", On: i * 3 % 100})
+	}
+	return script
+}
