--- a/internal/fleet/share/cold.go
+++ b/internal/fleet/share/cold.go
@@ -3,7 +3,7 @@
 import "math"
 
 const (
-	coldOwn   = 1.0    // of the allowance of a cold node, by own served work: the rest is for errors and the idle
+	coldOwn   = 1.0    // of the allowance of a cold node, by own served work
 	coldIdle  = 0.25   // x an even share: what one that had nothing served may use all the same
 	coldKnown = 1500.0 // ms of history from which own served work says something
 	coldHalf  = 20e3   // ms: half-life of that history
@@ -13,15 +13,18 @@
 // Cold says how much of what a cold node may be sent is this broker's.
 //
 // A cold node at a fraction c of what it does when warm may be sent so many times c of that, by all brokers
-// together. Each takes coldOwn of that many times c of what it had served itself at the mean warm node of late.
-// However many brokers there are, and however traffic is split among them: the sum over all of what each has
-// served at the mean warm node is what that node serves, and that is no more than it can do. So
+// together. Each takes that many times c of what it had served itself at the mean warm node of late. However
+// many brokers there are, and however traffic is split among them: the sum over all of what each has served
+// at the mean warm node is what that node serves for somebody, its load u of what it can do. So
 //
-//	sum of shares <= coldOwn x allowance + coldIdle x even shares, and 0.8 + 0.25 x 0.7 < 1.
+//	sum of shares <= (coldOwn x u + coldIdle x 0.7 / cores) x allowance
 //
-// No term holds the number of brokers, so one that is wrong about it, or ones that are dead, change nothing; and
-// a broker with eight times the mean traffic has eight times the share. Even shares know no cores and take each
-// node for the smallest, with one; served work shows what nodes do.
+// where 0.7 of one core's allowance is what even shares add up to. That is within the allowance up to a load of
+// 0.82 by what is of use, beyond which a fleet answers late, and never over 1.18 of it, as u is at most 1.
+//
+// No term holds the number of brokers, so one that is wrong about it, or ones that are dead, change little; and
+// a broker with eight times the mean traffic has eight times the share. Even shares know no cores and take
+// each node for the smallest, with one; served work shows what nodes do.
 //
 // Up to four brokers even shares are as good, and the weight of all this is 0.
 type Cold struct {
--- a/internal/lab/exp/exp.go
+++ b/internal/lab/exp/exp.go
@@ -62,7 +62,7 @@
 	Client    Span    `json:"client_news_ms"`
 	Zones     int     `json:"zones"`        // nodes and brokers stand in so many, in turn
 	Cross     Span    `json:"cross"`        // ms one way between them
-	Copies    bool    `json:"copies"`       // a second copy may be out while the first runs, where a repeat is safe
+	Copies    bool    `json:"copies"`       // a second copy may be out, where a repeat is safe
 	Pushed    bool    `json:"pushed"`       // the list is pushed to an agent beside each broker
 	Script    []Event `json:"script"`       // what goes wrong when, besides what is drawn
 	Told      int     `json:"told_brokers"` // how many brokers each is told there are; 0: as many as there are
--- a/internal/lab/ledger/ledger.go
+++ b/internal/lab/ledger/ledger.go
@@ -144,7 +144,8 @@
 
 // and is two moments as one, of which the first came first.
 func (m Moment) and(o Moment) Moment {
-	return Moment{m.At, m.For + o.For, m.Cold.and(o.Cold), m.Sent + o.Sent, m.Busy + o.Busy, m.Refused + o.Refused}
+	return Moment{m.At, m.For + o.For, m.Cold.and(o.Cold), m.Sent + o.Sent, m.Busy + o.Busy,
+		m.Refused + o.Refused}
 }
 
 // BusyParts is how many parts were turned away, and their share of those sent.
