--- a/cmd/ternlab/main.go
+++ b/cmd/ternlab/main.go
@@ -94,7 +94,8 @@
 var defaults = map[string]string{"every": "2000", "arm": "follow", "seconds": "60", "rate": "200",
 	"stand": "1", "slow": "1", "vanish": "1", "down": "1", "drain": "1", "broker": "1", "zone_cut": "1",
 	"silent": "1", "pause": "1",
-	"brokers": "300", "nodes": "200", "join": "1", "herd": "0", "zone": "0", "roll": "0", "hot": "1", "idle": "0", "told": "0", "apart": "0", "jump": "0"}
+	"brokers": "300", "nodes": "200", "join": "1", "herd": "0", "zone": "0", "roll": "0",
+	"hot": "1", "idle": "0", "told": "0", "apart": "0", "jump": "0"}
 
 func load(path string, vars []string) (*exp.Experiment, error) {
 	all := map[string]string{}
--- a/internal/fleet/share/cold.go
+++ b/internal/fleet/share/cold.go
@@ -19,12 +19,12 @@
 //
 //	sum of shares <= (coldOwn x u + coldIdle x 0.7 / cores) x allowance
 //
-// where 0.7 of one core's allowance is what even shares add up to. That is within the allowance up to a load of
-// 0.82 by what is of use, beyond which a fleet answers late, and never over 1.18 of it, as u is at most 1.
+// where 0.7 of one core's allowance is what even shares add up to. That is within the allowance up to a load
+// of 0.82 by what is of use, beyond which a fleet answers late, and never over 1.18 of it, as u is at most 1.
 //
-// No term holds the number of brokers, so one that is wrong about it, or ones that are dead, change little; and
-// a broker with eight times the mean traffic has eight times the share. Even shares know no cores and take
-// each node for the smallest, with one; served work shows what nodes do.
+// No term holds the number of brokers, so one that is wrong about it, or ones that are dead, change little;
+// and a broker with eight times the mean traffic has eight times the share. Even shares know no cores and
+// take each node for the smallest, with one; served work shows what nodes do.
 //
 // Up to four brokers even shares are as good, and the weight of all this is 0.
 type Cold struct {
--- a/internal/lab/result/fleet.go
+++ b/internal/lab/result/fleet.go
@@ -22,14 +22,15 @@
 	brokersChart = "brokers.svg"
 )
 
-// WriteFleet keeps what many brokers did together: moments.csv, nodes.csv (while they were cold) and brokers.csv,
-// and charts of what cold nodes might be sent and were, and of how brokers fared.
+// WriteFleet keeps what many brokers did together: moments.csv, nodes.csv (while they were cold) and
+// brokers.csv, and charts of what cold nodes might be sent and were, and of how brokers fared.
 func WriteFleet(dir string, l *ledger.Ledger) error {
 	itoa, ftoa := strconv.Itoa, func(x float64) string { return strconv.FormatFloat(x, 'f', 1, 64) }
-	moments := [][]string{{"at_ms", "for_ms", "cold_may_ms", "cold_sent_ms", "parts_sent", "parts_busy", "queries_refused"}}
+	moments := [][]string{{"at_ms", "for_ms", "cold_may_ms", "cold_sent_ms", "parts_sent", "parts_busy",
+		"queries_refused"}}
 	for _, m := range l.Moments {
-		moments = append(moments, []string{ftoa(m.At), ftoa(m.For), ftoa(m.Cold.May), ftoa(m.Cold.Used), itoa(m.Sent),
-			itoa(m.Busy), itoa(m.Refused)})
+		moments = append(moments, []string{ftoa(m.At), ftoa(m.For), ftoa(m.Cold.May), ftoa(m.Cold.Used),
+			itoa(m.Sent), itoa(m.Busy), itoa(m.Refused)})
 	}
 	nodes := [][]string{{"node", "may_ms", "sent_ms", "brokers", "parts_busy"}}
 	for _, name := range slices.Sorted(maps.Keys(l.Nodes)) {
@@ -38,10 +39,11 @@
 	}
 	brokers := [][]string{{"broker", "parts_sent", "parts_busy", "answered", "refused", "failed"}}
 	for i, b := range l.Brokers {
-		brokers = append(brokers, []string{itoa(i), itoa(b.Sent), itoa(b.Busy), itoa(b.Answered), itoa(b.Refused),
-			itoa(b.Without)})
+		brokers = append(brokers, []string{itoa(i), itoa(b.Sent), itoa(b.Busy), itoa(b.Answered),
+			itoa(b.Refused), itoa(b.Without)})
 	}
-	for name, rows := range map[string][][]string{"moments.csv": moments, "nodes.csv": nodes, "brokers.csv": brokers} {
+	for name, rows := range map[string][][]string{"moments.csv": moments, "nodes.csv": nodes,
+		"brokers.csv": brokers} {
 		if err := writeCSV(filepath.Join(dir, name), rows); err != nil {
 			return err
 		}
@@ -61,7 +63,7 @@
 	return csv.NewWriter(f).WriteAll(rows)
 }
 
-// drawCold draws, over time, what cold nodes might be sent and were, as cores, beside queries refused a second.
+// drawCold draws over time what cold nodes might be sent and were, as cores, and queries refused a second.
 func drawCold(path string, moments []ledger.Moment) error {
 	var may, used, refused plotter.XYs
 	for _, m := range moments {
@@ -77,7 +79,8 @@
 	p.Title.Text, p.X.Label.Text = "Cold nodes", "s"
 	p.Y.Label.Text = "ms of work in a ms; queries a second"
 	p.Legend.Top = true
-	if err := plotutil.AddLines(p, "might be sent", may, "were sent", used, "queries refused", refused); err != nil {
+	err := plotutil.AddLines(p, "might be sent", may, "were sent", used, "queries refused", refused)
+	if err != nil {
 		return err
 	}
 	return p.Save(chartWide, chartHigh, path)
@@ -100,7 +103,8 @@
 		xy = append(xy, plotter.XY{X: float64(i), Y: x})
 	}
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Brokers by the share of their queries answered", "brokers", "share"
+	p.Title.Text, p.X.Label.Text = "Brokers by the share of their queries answered", "brokers"
+	p.Y.Label.Text = "share"
 	if err := plotutil.AddLines(p, xy); err != nil {
 		return err
 	}
