Scripted troubles happen whatever else is wrong; the lab's release leaves each slice a node

Found while reading: the guard on drawn troubles (one broker down at a time, a sixth of the nodes) also held for scripts, so herd killed one broker and join replaced a sixth at a time; and nodes were replaced in blocks, so three in five slices had no holder. Now scripts are played as written, six in ten nodes are those that leave each slice one.

--- a/experiments/mass.jsonnet
+++ b/experiments/mass.jsonnet
@@ -8,6 +8,10 @@
 local brokers = number('brokers');
 local nodes = number('nodes');
 local none = { max: 0 };
+// Of three neighbours, which hold the same slice, one at least stays: so it is with releases.
+local mixed(of) = std.sort(of, function(n) (n * 67) % nodes);
+local six = mixed([n for n in std.range(0, nodes - 1) if std.member([0, 1, 3], n % 5)]);
+local half = mixed([n for n in std.range(0, nodes - 1) if n % 2 == 0]);
 local some(of, share) = std.range(0, std.floor(of * share) - 1);
 {
   name: 'mass',
@@ -32,8 +36,8 @@
   node: { cores: 2, room: 32, cold_from: 0.21, warm: 18000, fall_multiple: 2.5, fall_for: 1500 },
   changes: { every: 0 },
   news: { list: [500, 1500], node: [2, 150], catalogue: [2, 150] },
-  script: (if on('join') then [{ at: 4000 + 7000 * i / (0.6 * nodes), 'for': 2000, kind: 'drain', on: (i * 67) % nodes } for i in some(nodes, 0.6)] else [])
-          + (if on('roll') then [{ at: 3000 + 4000 * std.floor(i / (0.1 * nodes)), 'for': 2000, kind: 'drain', on: (i * 67) % nodes } for i in some(nodes, 0.5)] else [])
+  script: (if on('join') then [{ at: 4000 + 7000 * i / std.length(six), 'for': 2000, kind: 'drain', on: six[i] } for i in std.range(0, std.length(six) - 1)] else [])
+          + (if on('roll') then [{ at: 3000 + 4000 * std.floor(i / (0.1 * nodes)), 'for': 2000, kind: 'drain', on: half[i] } for i in std.range(0, std.length(half) - 1)] else [])
           + (if on('herd') then [{ at: 6000, 'for': 1500, kind: 'broker', on: i } for i in some(brokers, 0.7)] else [])
           + (if on('zone') then [{ at: 6000, 'for': 5000, kind: 'zone_cut', on: 1 }] else []),
   expect: {
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -98,7 +98,7 @@
 	}
 	s.at(s.now+ledgerStep, f.account)
 	for _, v := range s.e.Script {
-		s.at(s.now+v.At, func() { f.strike(v.Kind, v.On, v.For) })
+		s.at(s.now+v.At, func() { f.strike(v.Kind, v.On, v.For, true) })
 	}
 	if s.e.Node.Pause[1] > 0 {
 		for _, n := range f.nodes {
@@ -542,16 +542,18 @@
 	case "zone_cut":
 		on = s.world.IntN(s.e.Zones)
 	}
-	f.strike(kind, on, s.e.Troubles.For.Draw(s.world))
+	f.strike(kind, on, s.e.Troubles.For.Draw(s.world), false)
 }
 
-// strike lets something go wrong at a node, a zone or a broker, unless too much is wrong already.
-func (f *fleet) strike(kind string, on int, long float64) {
+// strike lets something go wrong at a node, a zone or a broker: what is drawn only if little is wrong already, what
+// is scripted whatever else is, unless it is wrong there.
+func (f *fleet) strike(kind string, on int, long float64, scripted bool) {
 	s := f.sim
 	switch kind {
 	case "broker":
 		b := s.brokers[on]
-		if len(s.brokers) < 2 || slices.ContainsFunc(s.brokers, func(x broker) bool { return !x.up() }) {
+		if !b.up() || !scripted && (len(s.brokers) < 2 ||
+			slices.ContainsFunc(s.brokers, func(x broker) bool { return !x.up() })) {
 			return
 		}
 		b.kill()
@@ -584,7 +586,7 @@
 			busy++
 		}
 	}
-	if n.busy || n.Cold(s.now) || n.Fallen || busy > max(1, len(f.nodes)/6) {
+	if n.busy || n.Fallen || !scripted && (n.Cold(s.now) || busy > max(1, len(f.nodes)/6)) {
 		return
 	}
 	n.busy = true
