--- a/internal/lab/exp/exp.go
+++ b/internal/lab/exp/exp.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 
 	"ternstage/api"
 	"ternstage/balance"
@@ -74,6 +75,10 @@
 		Apart float64 `json:"apart"` // ms: brokers' clocks are up to so far from the true time
 		Jump  float64 `json:"jump"`  // ms by which the first broker's is ahead
 	} `json:"clocks"`
+	Links struct { // live: relays on the links between brokers and nodes
+		Delay  Span    `json:"delay"`  // ms by which what goes over them is late, one way
+		Repeat float64 `json:"repeat"` // share of answers that come twice
+	} `json:"links"`
 	Classes []Class `json:"classes"`
 	Node    struct {
 		Cores        int     `json:"cores"`
@@ -148,7 +153,8 @@
 		return nil, fmt.Errorf("%s: reach: %d holders of %d nodes", path, e.Reach, e.Nodes)
 	}
 	for i, v := range e.Script {
-		most := map[string]int{"zone_cut": e.Zones, "broker": e.Brokers, "silent": e.Brokers}[v.Kind]
+		most := map[string]int{"zone_cut": e.Zones, "broker": e.Brokers, "silent": e.Brokers,
+			"link_cut": e.Brokers}[v.Kind]
 		if most == 0 {
 			most = e.Nodes
 		}
@@ -229,6 +235,12 @@
 	return s
 }
 
+// HasLinks tells that relays stand on the links between brokers and nodes.
+func (e *Experiment) HasLinks() bool {
+	return e.Links.Delay[1] > 0 || e.Links.Repeat > 0 ||
+		slices.ContainsFunc(e.Script, func(v Event) bool { return v.Kind == "link_cut" })
+}
+
 // ToldBrokers is how many brokers each is told there are.
 func (e *Experiment) ToldBrokers() int {
 	if e.Told > 0 {
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -66,6 +66,7 @@
 	pace    slicemap.Pace
 	cut     int        // the zone that is cut off from the others, -1 for none
 	silent  []float64  // by broker: until when its agent is silent
+	apart   []float64  // by broker: until when its links to all nodes are cut
 	rnd     *rand.Rand // of changes, so that days with and without them have the same troubles
 }
 
@@ -73,7 +74,8 @@
 	f := &fleet{sim: s, byName: map[string]uint32{},
 		truth: slicemap.New(slicemap.Options{History: s.e.History}), next: s.e.Slices,
 		rnd: rand.New(rand.NewPCG(seed, 4)), cut: -1, silent: make([]float64, s.e.Brokers),
-		pace: slicemap.Pace{AtOnce: 2, ColdFrom: s.e.Node.ColdFrom, Warm: s.e.Node.Warm}}
+		apart: make([]float64, s.e.Brokers),
+		pace:  slicemap.Pace{AtOnce: 2, ColdFrom: s.e.Node.ColdFrom, Warm: s.e.Node.Warm}}
 	if _, err := f.truth.Reset(s.e.Map()); err != nil {
 		panic(err) // the experiment's own first map
 	}
@@ -537,7 +539,7 @@
 	kind := s.e.Troubles.Kinds[s.world.IntN(len(s.e.Troubles.Kinds))]
 	on := s.world.IntN(len(f.nodes))
 	switch kind {
-	case "broker", "silent":
+	case "broker", "silent", "link_cut":
 		on = s.world.IntN(len(s.brokers))
 	case "zone_cut":
 		on = s.world.IntN(s.e.Zones)
@@ -565,6 +567,15 @@
 			f.silent[on] = max(f.silent[on], s.now+long)
 		}
 		return
+	case "link_cut":
+		f.apart[on] = max(f.apart[on], s.now+long)
+		s.brokers[on].cut(true)
+		s.at(s.now+long, func() {
+			if s.now >= f.apart[on] {
+				s.brokers[on].cut(false)
+			}
+		})
+		return
 	case "zone_cut":
 		if f.cut >= 0 || s.e.Zones < 2 {
 			return
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -23,11 +23,12 @@
 )
 
 const (
-	origin   = 1e6    // ms: the clock at the start; 0 means long ago to some
-	tail     = 8000.0 // ms after the last arrival until all must be over
-	netLeast = 0.2    // ms one way
-	netMost  = 1.0
-	forget   = 30_000.0 // ms after which nothing of a query can come any more
+	origin    = 1e6    // ms: the clock at the start; 0 means long ago to some
+	tail      = 8000.0 // ms after the last arrival until all must be over
+	netLeast  = 0.2    // ms one way
+	netMost   = 1.0
+	askWithin = 10_000.0 // ms, of the settings: not having asked for so long counts as being told
+	forget    = 30_000.0 // ms after which nothing of a query can come any more
 )
 
 // broker is a broker as the world sees it.
@@ -41,6 +42,7 @@
 	take(q *query, r *core.Request) error // an error tells that it was not taken
 	told(upTo int)                        // it may know the news of the list up to there
 	reset(n *node)                        // a node's process has ended
+	cut(off bool)                         // its links to all nodes, and they are back
 	sum(r *result.Summary)
 }
 
@@ -121,6 +123,9 @@
 		world: rand.New(rand.NewPCG(seed, 3)), check: check.New(), queries: map[string]*query{},
 		latency: hdrhistogram.New(1, 60_000_000, 3)}
 	s.check.Copies = e.Copies
+	if !e.Pushed {
+		s.check.Unasked = askWithin
+	}
 	s.sums = ledger.New(e.Brokers)
 	s.fleet = newFleet(s, seed)
 	s.seed = seed
--- a/test/fleet/mass_test.go
+++ b/test/fleet/mass_test.go
@@ -96,3 +96,32 @@
 	}
 	return script
 }
+
+// TestLinksCutDelayedAndRepeated: relays stand on each link between twelve processes and twenty nodes. All is late by 1 to
+// 15 ms, and one answer in five comes twice; four brokers lose all their links at once for 3 s, a fifth for 1 s again and
+// again, while a third of the nodes is replaced. Each query still has one final answer, and no value counts twice.
+func TestLinksCutDelayedAndRepeated(t *testing.T) {
+	t.Parallel()
+	size := map[string]string{"brokers": "12", "nodes": "20", "seconds": "11", "rate": "40"}
+	e := mass(t, size)
+	e.Copies, e.Links.Delay, e.Links.Repeat = true, exp.Span{1, 15}, 0.2
+	for i := range 4 {
+		e.Script = append(e.Script, exp.Event{At: 3000, For: 3000, Kind: "link_cut", On: i})
+	}
+	for i := range 4 {
+		e.Script = append(e.Script, exp.Event{At: 1500 + 2000*float64(i), For: 1000, Kind: "link_cut", On: 7})
+	}
+	for i := range 6 {
+		e.Script = append(e.Script, exp.Event{At: 1000 + 700*float64(i), For: 500, Kind: "drain", On: i * 3})
+	}
+	w := world.New(e, 11)
+	s, err := w.RunLive(t.Context(), world.LiveOptions{Binary: built, Dir: t.TempDir()}, nil)
+	require.NoError(t, err)
+	links := w.LinkStats()
+	t.Logf("%d taken, %d answered, %d refused, %d failed, worth %.3f, %+v", s.Taken, s.Answered, s.Refused, s.Failed,
+		s.Worth, links)
+	assert.Zero(t, s.Broken(), s.Notes)
+	assert.Greater(t, s.Worth, 0.5)
+	assert.Positive(t, links.Repeated, "answers came twice")
+	assert.Positive(t, links.Reset, "connections that lost something were reset when the way was back")
+}
