--- a/internal/lab/relay/relay.go
+++ b/internal/lab/relay/relay.go
@@ -17,7 +17,7 @@
 const (
 	dialMost  = time.Second
 	chunk     = 32 << 10
-	queueMost = 256     // pieces that wait in a direction: beyond it the sender is held back, as by a full window
+	queueMost = 256     // pieces that wait in a direction: beyond it the sender is held back
 	frameMost = 1 << 20 // a longer frame is passed on as it is, and never again
 	frameHead = 4
 )
@@ -53,7 +53,7 @@
 	lost    bool // something did not get through while it was cut: it is reset once the way is back
 }
 
-// New starts a relay to a target. frames tells that what the target sends comes in frames, which may be repeated.
+// New starts a relay to a target. frames tells that what the target sends comes in frames, to be repeated.
 func New(target string, frames bool) (*Relay, error) {
 	ln, err := net.Listen("tcp", loopback.Own())
 	if err != nil {
--- a/internal/lab/world/fleet.go
+++ b/internal/lab/world/fleet.go
@@ -547,8 +547,8 @@
 	f.strike(kind, on, s.e.Troubles.For.Draw(s.world), false)
 }
 
-// strike lets something go wrong at a node, a zone or a broker: what is drawn only if little is wrong already, what
-// is scripted whatever else is, unless it is wrong there.
+// strike lets something go wrong at a node, a zone or a broker: what is drawn only if little is wrong
+// already, what is scripted whatever else is, unless it is wrong there.
 func (f *fleet) strike(kind string, on int, long float64, scripted bool) {
 	s := f.sim
 	switch kind {
