--- a/balance/state.go
+++ b/balance/state.go
@@ -159,7 +159,7 @@
 	return 1
 }
 
-// countWarm is how many replicas are listed as ready and known to be warm, at the time of the last turn.
+// countWarm is how many replicas are listed as ready and not known to be cold.
 func (b *Balancer) countWarm(now float64) (n int) {
 	for _, r := range b.order {
 		if r.State == Ready && b.warm(now, r) {
