--- a/internal/fleet/share/throttle.go
+++ b/internal/fleet/share/throttle.go
@@ -20,7 +20,7 @@
 // them. The logarithm of what a broker lets in moves by rise x s - fall x (1-s) with each work that it
 // sends, so it is at rest only where s = fall/(rise+fall), or where all is let in. No term of that holds
 // the number of brokers or how traffic is split, so the sum at rest is (rise+fall)/fall of what is taken,
-// 1.4 times, for any of both; what is more than that is what moves it there. A part that was turned away
+// 1.25 times, for any of both; what is more than that is what moves it there. A part that was turned away
 // as busy counts against; one that timed out or was given up says nothing, as hung nodes and cut ways look
 // like that too.
 //
