--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,7 +91,7 @@
 	calmGain    = 5e-4  // weight of the newest usual latency in the least one, where it is above it
 	coldMost    = 2.0   // ms of work in a ms: as much as one co-ordinator may believe a warm replica does
 	coldUnit    = 100.0 // ms of work a part is taken for while nothing has been seen
-	watchMost   = 4000  // ms: longest delay after a failed call for the list, the first is an eighth of it
+	watchMost   = 1500  // ms: longest delay of few after a failed call for the list, the first is a third of it
 	askEach     = 60.0  // ms: what a call is taken to cost the list service; many peers space theirs out
 	weightSlack = 5e-5  // weights: rounding allowed by half of what the rule allows
 )
@@ -128,15 +128,15 @@
 func (b *Balancer) ListChanged(now float64, kind ListKind, entries []Entry) {
 	b.born = cmp.Or(b.born, now)
 	if kind == ListFailed {
-		// Ask again after a growing, spread delay: guards the list service against a crowd of dead calls.
-		crowd := b.crowd()
-		b.watchWait = min(max(2*b.watchWait, watchMost/8, crowd), max(watchMost, 2*crowd),
-			max(b.s.AskWithin/3, min(2*crowd, 2*b.s.AskWithin), b.s.Tick))
+		// Ask again after a growing, spread delay: guards the list service against a crowd of dead calls. Some tens
+		// of peers ask soon: what the service has counts as told 6 s after it could be reached.
+		b.watchWait = min(max(2*b.watchWait, watchMost/3, b.crowd()), max(watchMost, 2*b.crowd()-watchMost),
+			max(b.s.AskWithin/3, min(2*b.crowd(), 2*b.s.AskWithin), b.s.Tick))
 		b.watchAt = now + b.watchWait*(0.5+0.5*b.random())
 		return
 	}
 	if b.watchWait, b.watchAt = 0, math.Inf(1); kind == ListCached && b.s.MustAsk {
-		if b.watchAt = now; b.crowd() > 0 { // a restart begins with an old list, and may be everybody's
+		if b.watchAt = now; len(entries) > 0 { // a restart begins with an old list, and may be everybody's
 			b.watchAt += min(b.crowd(), b.s.AskWithin) / 2 * b.random()
 		}
 	}
--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -37,6 +37,7 @@
 	killMost    = 3000.0 // ms: a longer deadline of a class does not put off SIGKILL, which comes no sooner than
 	killSpare   = 700.0  // so long after the longest deadline
 	answerSpare = 150.0  // ms before SIGKILL by which all is answered
+	closeSpare  = 80.0   // ms before SIGKILL by which we no longer wait for clients to close in their turn
 	exitBy      = 60_000 // ms after SIGTERM at the latest
 )
 
@@ -171,6 +172,7 @@
 		return err
 	}
 	taken, ends := c.Counts()
+	server.Close()
 	back.Close()
 	watch.Close()
 	log.Info("stopped", zap.Uint64("taken", taken), zap.Uint64("answered", ends[core.Answered]),
@@ -227,7 +229,8 @@
 func (s *stopper) step() {
 	const every = 10.0
 	past := s.loop.Now() - s.began
-	if past >= max(s.longest, s.listenFor) || past >= s.listenFor && (s.server.Open() == 0 || s.kept) {
+	open, serving := s.server.Open()
+	if past >= max(s.longest, s.listenFor) || past >= s.listenFor && (open == 0 || s.kept) {
 		s.server.StopListening()
 		if !s.kept || past >= keptIdle {
 			s.server.EndIdle()
@@ -236,7 +239,10 @@
 			s.ending = true
 			s.front.Stop(func() { s.front = nil })
 		}
-		if s.core.Open() == 0 && s.front == nil && s.server.Open() == 0 || past >= exitBy {
+		if past >= s.longest+killSpare-closeSpare && serving == 0 {
+			open = 0
+		}
+		if s.core.Open() == 0 && s.front == nil && open == 0 || past >= exitBy {
 			s.loop.Stop()
 			return
 		}
--- a/internal/catalog/source.go
+++ b/internal/catalog/source.go
@@ -155,7 +155,7 @@
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		eof, err := s.s.Read(s.o.Most + 16<<10)
 		at := s.s
-		if s.answer(); s.s != at {
+		if s.answer(eof); s.s != at {
 			return
 		}
 		switch {
@@ -173,9 +173,9 @@
 	s.write()
 }
 
-// answer takes a whole answer, and goes on with the next call.
-func (s *Source) answer() {
-	status, body, size, last, err := httpanswer.Parse(s.s.In, s.o.Most)
+// answer takes a whole answer, and goes on with the next call. ended tells that the other side has closed.
+func (s *Source) answer(ended bool) {
+	status, body, size, last, err := httpanswer.Parse(s.s.In, s.o.Most, ended)
 	if err == nil && size == 0 {
 		if len(s.s.In) >= s.o.Most+16<<10 {
 			s.fail(logs.SlicesBad, fmt.Errorf("answer over %d bytes", s.o.Most))
--- a/internal/clients/http.go
+++ b/internal/clients/http.go
@@ -25,6 +25,7 @@
 	errHead      = errors.New("header over 16 KiB")
 	errSlow      = errors.New("the request did not come whole in time")
 	errCrowded   = errors.New("no memory for a request that does not come whole")
+	errEnding    = errors.New("the program ends, and the request did not come whole")
 )
 
 // message is one HTTP request.
--- a/internal/clients/serve.go
+++ b/internal/clients/serve.go
@@ -60,10 +60,11 @@
 	}
 	now := c.server.loop.Now()
 	r, err := c.server.book.Read(contract.Envelope{ID: m.header["x-request-id"], Class: class,
-		Tenant: m.header["x-tenant"], Wait: wait * 1000, Retry: m.header["x-retry"] == "1"}, m.body, now)
+		Tenant: m.header["x-tenant"], Wait: wait * 1000, Retry: m.header["x-retry"] == "1",
+		DedupKey: m.header["idempotency-key"]}, m.body, now)
 	if err == nil {
 		r.Client = c
-		c.open, c.taken = r, now
+		c.open = r
 		if err = c.server.core.Take(r); err != nil {
 			c.open = nil
 		}
--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -1,8 +1,10 @@
 package clients
 
 import (
+	"cmp"
 	"errors"
 	"math"
+	"slices"
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
@@ -27,11 +29,11 @@
 	wholeMost  = 2000.0 // ms for a request to come whole, from its first byte, the first from the connect on
 	idleMost   = 5000.0 // ms between requests; the client opens a new connection when it needs one
 	takeMost   = 2000.0 // ms that a client may leave its answer unread
-	lingerMost = 500.0  // ms in which what a client still sends is thrown away behind our last answer
+	lingerMost = 500.0  // ms in which what a client still sends is thrown away behind our end
 	crowdRest  = 1000.0 // ms after which who found no memory may come again
-	lingerRead = 256 << 10
-	halfClose  = 20.0 // ms after a request in which an end of the client's side is a half-close
-	acceptRest = 50.0 // ms without accepting after EMFILE: guards against a spin
+	lingerRead = 1 << 20
+	restMost   = 300.0 // ms for the rest of a request that has begun to come when the program ends
+	acceptRest = 50.0  // ms without accepting after EMFILE: guards against a spin
 	tendEvery  = 200.0
 	acceptMost = 256 // connections taken in one wake-up
 )
@@ -53,7 +55,7 @@
 	again    *loop.Timer // accepts again
 	draining bool        // health says no: the program ends
 	away     bool        // health says no: the operators have the clients sent away
-	ending   bool        // every answer is the last of its connection: the program ends
+	endingAt float64     // since when every answer is the last of its connection as the program ends; 0 before
 	closing  bool        // so, while clients are sent away
 	onIdle   func()
 	pages    map[string]func() []byte
@@ -109,7 +111,7 @@
 		_ = unix.SetNonblock(s.fd, true)
 	}
 	for range acceptMost {
-		if len(s.conns) >= s.most && !s.makeRoom() {
+		if len(s.conns) >= s.most && !s.MakeRoom() {
 			s.rest()
 			return
 		}
@@ -122,7 +124,7 @@
 			return
 		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
 		default: // EMFILE and its like
-			if !s.makeRoom() {
+			if !s.MakeRoom() {
 				s.rest()
 				return
 			}
@@ -148,24 +150,26 @@
 	s.conns[c] = struct{}{}
 }
 
-// makeRoom closes the connection that can best be spared: one that has had its last answer, then the one that
-// has stood idle longest. A client opens a new one when it needs one.
-func (s *Server) makeRoom() bool {
-	var idle *conn
+// MakeRoom closes the connection that can best be spared, for a descriptor: one that we have ended, then the
+// one that has stood idle longest and on which nothing has come. A client opens a new one when it needs one.
+// It hands nothing in, so that it may be called from within a decision. False if there is none.
+func (s *Server) MakeRoom() bool {
+	var spare []*conn
 	for c := range s.conns {
-		if c.lingers {
-			idle = c
-			break
-		}
-		if c.quiet() && (idle == nil || c.since < idle.since) {
-			idle = c
+		if c.ends != "" || c.quiet() {
+			spare = append(spare, c)
 		}
 	}
-	if idle == nil {
-		return false
+	slices.SortFunc(spare, func(a, b *conn) int {
+		return cmp.Or(cmp.Compare(b.ends, a.ends), cmp.Compare(a.since, b.since))
+	})
+	for _, c := range spare {
+		if c.ends != "" || !c.s.Unread() {
+			c.close(logs.ClientIdle, nil)
+			return true
+		}
 	}
-	idle.close(logs.ClientIdle, nil)
-	return true
+	return false
 }
 
 // tend ends what takes too long: guards descriptors and memory against clients that say nothing, send half a
@@ -175,9 +179,9 @@
 	for c := range s.conns {
 		age := now - c.since
 		switch {
-		case c.lingers:
+		case c.ends != "":
 			if age > lingerMost {
-				c.close(logs.ClientDone, nil)
+				c.close(c.ends, nil)
 			}
 		case c.open != nil:
 		case len(c.s.Out) > 0:
@@ -191,9 +195,9 @@
 				c.write()
 			}
 		case c.served == 0 && age > wholeMost:
-			c.close(logs.ClientSilent, nil)
+			c.linger(logs.ClientSilent)
 		case age > idleMost:
-			c.close(logs.ClientIdle, nil)
+			c.linger(logs.ClientIdle)
 		}
 	}
 	s.timer.Set(now + tendEvery)
@@ -223,26 +227,47 @@
 		s.accept()
 	}
 	s.loop.Close(s.fd)
-	s.fd, s.ending = -1, true
+	s.fd, s.endingAt = -1, s.loop.Now()
 	s.again.Stop()
 }
 
-// EndIdle closes connections between requests, after a last look at what has come on them. A client that
-// writes to one at that moment finds it closed: a connection that is used again is ended by the answer
-// that says so, and only one that stays idle needs this.
+// EndIdle ends connections between requests, after a last look at what has come on them. A request that a
+// client writes to one at that moment is not read, and the client asks again elsewhere: a connection that is
+// used again is ended by the answer that says so, and only one that stays idle needs this. As the program
+// ends, a request of which the rest does not come is refused.
 func (s *Server) EndIdle() {
+	now := s.loop.Now()
 	for c := range s.conns {
 		if c.quiet() {
 			c.Ready(unix.EPOLLIN)
 		}
-		if !c.closed && c.quiet() {
-			c.close(logs.Shutdown, nil)
+		switch {
+		case c.closed:
+		case c.quiet():
+			c.linger(logs.Shutdown)
+		case c.halfRead() && s.endingAt > 0 && now > max(c.began, s.endingAt)+restMost:
+			c.reject(503, errEnding)
+			c.write()
 		}
 	}
 }
 
-// Open is how many connections there are.
-func (s *Server) Open() int { return len(s.conns) }
+// Open is how many connections there are, and how many of them we have not ended.
+func (s *Server) Open() (all, serving int) {
+	for c := range s.conns {
+		if c.ends == "" {
+			serving++
+		}
+	}
+	return len(s.conns), serving
+}
+
+// Close closes what is open, at the end of the program.
+func (s *Server) Close() {
+	for c := range s.conns {
+		c.close(logs.Shutdown, nil)
+	}
+}
 
 // conn is a client's connection.
 type conn struct {
@@ -250,15 +275,15 @@
 	s         *loop.Stream
 	peer      string
 	open      *core.Request // the request being answered; the next ones wait in the buffer
-	taken     float64       // when it was taken
-	last      bool          // the connection ends once all is written
+	reading   int           // bytes in the buffer of the request that is just being taken
+	last      bool          // the connection ends once all is written; what still comes is thrown away
 	ended     bool          // the client has ended its side
 	closed    bool
-	more      bool  // read-ahead requests are about to be parsed
-	cont      bool  // 100 Continue has been sent for the request that is coming
-	malformed error // why it was rejected
-	late      bool  // its request did not come whole in time
-	lingers   bool  // all is said; what still comes is thrown away
+	more      bool      // read-ahead requests are about to be parsed
+	cont      bool      // 100 Continue has been sent for the request that is coming
+	malformed error     // why it was rejected
+	late      bool      // its request did not come whole in time
+	ends      logs.Code // why we have ended our side; empty before. What still comes is thrown away
 	parser    parser
 	served    int
 	thrown    int     // bytes thrown away
@@ -269,12 +294,17 @@
 
 // quiet tells that nothing is under way on the connection.
 func (c *conn) quiet() bool {
-	return c.open == nil && len(c.s.In) == 0 && len(c.s.Out) == 0 && !c.lingers && !c.closed
+	return c.open == nil && len(c.s.In) == 0 && len(c.s.Out) == 0 && c.ends == "" && !c.closed
+}
+
+// halfRead tells that nothing is under way but a request that has not come whole.
+func (c *conn) halfRead() bool {
+	return c.open == nil && len(c.s.In) > 0 && len(c.s.Out) == 0 && c.ends == "" && !c.more
 }
 
 // Ready implements loop.Handler.
 func (c *conn) Ready(events uint32) {
-	if c.lingers {
+	if c.ends != "" {
 		c.discard()
 		return
 	}
@@ -286,7 +316,7 @@
 		if len(c.s.In) == 0 && c.served > 0 {
 			c.began = c.server.loop.Now()
 		}
-		eof, err := c.s.Read(maxIn)
+		eof, err := c.read()
 		if err != nil {
 			c.gone(err)
 			return
@@ -302,17 +332,31 @@
 	c.write()
 }
 
+// read takes what has come; eof tells that the client has ended its side. What comes behind an open request
+// is held up to a bound: beyond it that request is the connection's last, and the rest is thrown away. Guards
+// memory against floods, and the nodes against work for a client whose end stands unread behind one.
+func (c *conn) read() (eof bool, err error) {
+	if !c.last {
+		eof, err = c.s.Read(maxIn)
+		if eof || err != nil || c.open == nil || len(c.s.In) < maxIn {
+			return eof, err
+		}
+		c.last, c.s.In = true, nil
+	}
+	_, eof, err = c.s.Drop()
+	return eof, err
+}
+
 // finish deals with the end of the client's side; true if the connection has ended. A client that ends its
-// side along with its request still reads; one that does so later has gone away.
+// side while a request is open has gone: that it closed cannot be told from an end of its sending alone.
 func (c *conn) finish() bool {
-	now := c.server.loop.Now()
 	switch {
-	case c.open != nil && now-c.taken > halfClose:
+	case c.open != nil:
 		c.gone(nil)
-	case c.open == nil && len(c.s.Out) == 0:
+	case len(c.s.Out) == 0:
 		c.close(logs.ClientEnded, nil)
 	default:
-		c.last = c.last || c.open == nil
+		c.last = true
 		return false
 	}
 	return true
@@ -353,8 +397,9 @@
 			}
 			return
 		}
-		c.cont = false
-		if c.serve(m); c.closed || c.malformed != nil {
+		c.cont, c.reading = false, size
+		c.serve(m)
+		if c.reading = 0; c.closed || c.malformed != nil {
 			return // a rejected request has emptied the buffer: guards against consuming it twice
 		}
 		c.s.Consume(size)
@@ -364,7 +409,7 @@
 
 // reject answers what cannot be read on from, and closes.
 func (c *conn) reject(status int, err error) {
-	c.s.In, c.malformed = nil, err
+	c.s.In, c.reading, c.malformed = nil, 0, err
 	r := response{status: status, body: errorBody(err), close: true}
 	if status == 503 {
 		r.retryAfter = crowdRest
@@ -373,7 +418,7 @@
 }
 
 func (c *conn) write() {
-	if c.closed || c.lingers {
+	if c.closed || c.ends != "" {
 		return
 	}
 	for again := true; again; {
@@ -392,12 +437,13 @@
 	}
 	c.count()
 	if len(c.s.Out) == 0 && c.open == nil && !c.more && (c.last || c.ended) {
-		c.linger()
+		c.linger(logs.ClientDone)
 		return
 	}
-	// While a request is open only so much is read ahead: guards memory against endless pipelining.
+	// Only so much is read ahead: guards memory against endless pipelining. With an open request there is
+	// always more to read, as its client may go.
 	want := uint32(0)
-	if len(c.s.In) < maxIn && len(c.s.Out) < maxOut && !c.ended {
+	if (len(c.s.In) < maxIn && len(c.s.Out) < maxOut || c.last) && !c.ended {
 		want = unix.EPOLLIN | unix.EPOLLRDHUP
 	}
 	if len(c.s.Out) > 0 {
@@ -417,30 +463,28 @@
 }
 
 // linger ends our side, and the connection once the client has ended its own. What the client still sends
-// would turn our close into a reset that destroys the answer unread; it is thrown away, up to a bound.
-func (c *conn) linger() {
+// would turn our close into a reset that destroys the answer unread (RFC 9112, 9.6); it is thrown away, up to
+// a bound, and none of it is served: an answer could not go out any more.
+func (c *conn) linger(why logs.Code) {
 	if c.ended {
-		c.close(logs.ClientDone, nil)
+		c.close(why, nil)
 		return
 	}
 	_ = unix.Shutdown(c.s.FD, unix.SHUT_WR)
-	c.lingers, c.since, c.s.In = true, c.server.loop.Now(), nil
+	c.ends, c.since, c.s.In = why, c.server.loop.Now(), nil
+	c.count()
 	c.s.Want(unix.EPOLLIN | unix.EPOLLRDHUP)
 	c.discard()
 }
 
-// discard throws away what has come: no more in one wake-up than a few reads, and no more in all than a
-// bound.
+// discard throws away what has come. What goes beyond a bound stays unread, so that its sender waits: the
+// answer has its time to arrive all the same.
 func (c *conn) discard() {
-	for range 4 {
-		n, err := c.s.Discard()
-		if c.thrown += n; errors.Is(err, unix.EAGAIN) && c.thrown <= lingerRead {
-			return
-		}
-		if err != nil || n == 0 || c.thrown > lingerRead {
-			c.close(logs.ClientDone, nil)
-			return
-		}
+	n, eof, err := c.s.Drop()
+	if c.thrown += n; eof || err != nil {
+		c.close(c.ends, nil)
+	} else if c.thrown > lingerRead {
+		c.s.Want(unix.EPOLLRDHUP)
 	}
 }
 
@@ -448,7 +492,9 @@
 func (c *conn) reply(r response) {
 	c.served++
 	c.since = c.server.loop.Now()
-	c.last = c.last || r.close || c.server.ending || c.server.closing
+	// Requests that were read behind this one are answered too before the program ends the connection.
+	ending := (c.server.endingAt > 0 || c.server.closing) && len(c.s.In) == c.reading
+	c.last = c.last || r.close || ending
 	r.close = c.last
 	c.s.Out = r.append(c.s.Out)
 }
@@ -461,6 +507,7 @@
 	delete(c.server.conns, c)
 	c.s.Close()
 	c.count()
+	code = cmp.Or(c.ends, code)
 	if c.late {
 		code, err = logs.ClientSlow, c.malformed
 	} else if c.malformed != nil {
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -92,6 +92,7 @@
 	ID, Class, Tenant string
 	Wait              float64 // ms the client will wait, from arrival
 	Retry             bool
+	DedupKey          string // "" for none
 }
 
 // Read makes a request of an envelope and a body, or says what is wrong with it.
@@ -107,6 +108,9 @@
 	if !validName(e.ID) {
 		return nil, fmt.Errorf("%w: the request id is missing or not a word", ErrMalformed)
 	}
+	if e.DedupKey != "" && (!validName(e.DedupKey) || strings.Contains(e.DedupKey, ",")) {
+		return nil, fmt.Errorf("%w: the idempotency key is not a word", ErrMalformed)
+	}
 	if !(e.Wait > 0) || math.IsInf(e.Wait, 0) {
 		return nil, fmt.Errorf("%w: the deadline is missing or not a positive time", ErrMalformed)
 	}
@@ -118,7 +122,7 @@
 		return nil, fmt.Errorf("%w: q or shards missing, or q is no text", ErrMalformed)
 	}
 	r := &core.Request{Name: e.ID, Class: class, Tenant: tenant, Repeat: e.Retry && b.Marks,
-		Deadline: now + min(e.Wait, b.Classes[class].DeadlineMS), Text: []byte(*in.Q),
+		Deadline: now + min(e.Wait, b.Classes[class].DeadlineMS), Text: []byte(*in.Q), DedupKey: e.DedupKey,
 		Parts: make([]core.Part, 0, len(in.Shards))}
 	if b.Slices && in.Epoch != nil {
 		if err := json.Unmarshal(in.Epoch, &r.Epoch); err != nil {
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -25,6 +25,7 @@
 func (b *bench) Send(a *core.Attempt)               { b.sent = append(b.sent, a) }
 func (b *bench) Flush()                             {}
 func (b *bench) Abandon(*core.Attempt) (never bool) { return false }
+func (b *bench) Withdraw(*core.Attempt) bool        { return false }
 func (b *bench) DropIdle(uint32)                    {}
 func (b *bench) Finish(core.Answer)                 { b.done++ }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -75,6 +75,7 @@
 	Epoch    uint64 // of the map by which the client named its parts; 0 if it does not say
 	Parts    []Part
 	Text     []byte // what every part must carry
+	DedupKey string // by which nodes drop repeats of a class of effect Keyed; the client's, "" for none
 	Client   Client
 
 	id      uint64
@@ -99,6 +100,11 @@
 	*leg // nil where slices do not move
 }
 
+// out tells that an attempt of a part has not ended.
+func (p *part) out() bool {
+	return slices.ContainsFunc(p.attempts, func(a *Attempt) bool { return !a.ended })
+}
+
 // late tells that the last attempt of a part is still waited for, or was in vain.
 func (p *part) late() bool {
 	n := len(p.attempts)
@@ -110,8 +116,10 @@
 	Request  string
 	Shard    int
 	Text     []byte
+	DedupKey string
 	Node     uint32
 	Deadline float64 // loop clock: when the wait for it ends
+	SendBy   float64 // loop clock: it begins by then or not at all, as the decision to send it is of now
 	Once     bool    // it must not run twice: what may have run of it is not tried again
 	Handle   any     // the back end's own
 	Alone    bool    // set by the back end with how it ended: only its connection broke, the node stands
@@ -136,7 +144,10 @@
 	Send(*Attempt)
 	// Flush ends the turn: what was sent goes out.
 	Flush()
-	// Abandon ends the wait for an attempt. It tells whether the attempt provably never ran nor will run.
+	// Withdraw takes an attempt back that has not begun: nothing of it goes out. False if it has begun.
+	Withdraw(*Attempt) bool
+	// Abandon withdraws an attempt, or else ends the wait for it and tells its node so. It tells whether the
+	// attempt provably never ran nor will run.
 	Abandon(*Attempt) (neverRan bool)
 	// DropIdle closes idle connections to a node.
 	DropIdle(node uint32)
@@ -161,6 +172,13 @@
 	Ended(r *Request, a Answer)
 }
 
+const (
+	// The module sends to a node that drains for half of the grace: what it has decided begins well within the
+	// other half, however late its connection comes up.
+	holdShare = 0.4
+	holdMost  = 400.0 // ms
+)
+
 type result struct {
 	a       *Attempt
 	outcome balance.Outcome
@@ -174,6 +192,7 @@
 	tries   int
 	maxOpen int
 	retry   float64
+	hold    float64 // ms after its decision within which an attempt begins
 	clock   Clock
 	back    Backend
 	list    List
@@ -186,7 +205,7 @@
 	out      map[[2]uint64]*Attempt // by part and number: those not yet told to the module as ended
 	due      deadlines              // of those that have not ended
 	ending   []result               // reported, and not yet told to the module
-	gone     []uint64               // requests whose clients left
+	gone     []*Request             // whose clients left
 	open     int                    // queries and parts held
 	answerBy float64                // by then all is answered
 	wakeAt   float64
@@ -215,10 +234,13 @@
 // New makes the core and its module.
 func New(s balance.Settings, seed uint64, o Options) (*Core, error) {
 	c := &Core{classes: s.Classes, shards: s.Shards, tries: s.MaxAttempts, maxOpen: o.MaxOpen,
-		retry: s.MaxRetryAfter, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{},
+		retry: s.MaxRetryAfter, hold: holdMost, clock: o.Clock, log: o.Log, requests: map[uint64]*Request{},
 		parts: map[uint64]*part{}, names: map[string]bool{},
 		out: map[[2]uint64]*Attempt{}, answerBy: math.Inf(1), wakeAt: math.Inf(1),
 		slices: o.Slices, bySlice: map[slicemap.ID][]*part{}, hint: func(uint64) {}}
+	if s.DrainGrace > 0 {
+		c.hold = min(c.hold, s.DrainGrace*holdShare)
+	}
 	m, err := balance.New(s, seed, c)
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
@@ -298,18 +320,33 @@
 	return nil
 }
 
-// Left tells that the client of a request has gone. A part that must not run twice and may be running is
-// waited for all the same: its outcome is learnt and logged, and it is never sent again. Guards against a
-// cancel that crosses a good answer.
+// Left tells that the client of a request has gone: nothing of it begins from now on.
 func (c *Core) Left(r *Request) {
-	if c.requests[r.id] != r || r.left {
-		return
+	if c.requests[r.id] == r && !r.left {
+		r.left = true
+		c.gone = append(c.gone, r)
 	}
-	r.left = true
-	if r.unsafe && slices.ContainsFunc(r.parts, func(p *part) bool { return len(p.attempts) > 0 }) {
+}
+
+// leave ends a request whose client has gone. A part that must not run twice and may be running is waited for
+// all the same: its outcome is learnt and logged. Guards against a cancel that crosses a good answer.
+func (c *Core) leave(now float64, r *Request) {
+	c.module.ClientGone(now, r.id)
+	if r.unsafe && slices.ContainsFunc(r.parts, (*part).out) {
+		c.release(r)
 		return
 	}
-	c.gone = append(c.gone, r.id)
+	c.conclude(r)
+}
+
+// conclude ends a request whose client has gone and of which nothing is waited for any more.
+func (c *Core) conclude(r *Request) {
+	a := Answer{Kind: Answered}
+	if slices.ContainsFunc(r.parts, func(p *part) bool { return !p.in }) {
+		a.Kind = Failed
+	}
+	c.forget(r)
+	c.end(r, a)
 }
 
 // Ended reports the outcome of an attempt, once; later reports are ignored. value is what an OK brought.
@@ -353,6 +390,9 @@
 	// events come after its actions.
 	ending, gone := c.ending, c.gone
 	c.ending, c.gone = nil, nil
+	for _, r := range gone {
+		c.leave(now, r)
+	}
 	for _, e := range ending {
 		a := e.a
 		delete(c.out, [2]uint64{a.part.id, uint64(a.no)})
@@ -363,12 +403,8 @@
 		if c.slices != nil && e.outcome != balance.OK {
 			c.reroute(now, a.part)
 		}
-	}
-	for _, id := range gone {
-		if r := c.requests[id]; r != nil {
-			c.forget(r)
-			c.module.ClientGone(now, id)
-			c.log.Ended(r, Answer{Kind: Failed})
+		if r := a.part.req; r.left && c.requests[r.id] == r && !slices.ContainsFunc(r.parts, (*part).out) {
+			c.conclude(r)
 		}
 	}
 	if now >= c.wakeAt {
@@ -405,13 +441,24 @@
 	}
 }
 
-func (c *Core) forget(r *Request) {
-	delete(c.requests, r.id)
-	delete(c.names, r.Name)
+// release sees to it that no part of a request begins any more: what waits at the back end is taken back,
+// whether or not the settings allow to cancel what has begun.
+func (c *Core) release(r *Request) {
 	for _, p := range r.parts {
 		delete(c.parts, p.id)
 		c.unlink(p)
+		for _, a := range p.attempts {
+			if !a.ended && c.back.Withdraw(a) {
+				c.Later(a, balance.Cancelled)
+			}
+		}
 	}
+}
+
+func (c *Core) forget(r *Request) {
+	delete(c.requests, r.id)
+	delete(c.names, r.Name)
+	c.release(r)
 	if r.version != nil {
 		c.slices.End(r.version)
 		r.version = nil // whoever still holds the request must not hold a map with it
@@ -458,8 +505,9 @@
 	if timeout != 0 {
 		deadline = min(deadline, now+timeout)
 	}
-	a := &Attempt{Request: p.req.Name, Shard: p.Shard, Text: p.req.Text, Node: node, Deadline: deadline,
-		Once: p.req.unsafe, part: p, no: len(p.attempts), sent: now, place: -1}
+	a := &Attempt{Request: p.req.Name, Shard: p.Shard, Text: p.req.Text, DedupKey: p.req.DedupKey,
+		Node: node, Deadline: deadline,
+		SendBy: c.sendBy(now, p), Once: p.req.unsafe, part: p, no: len(p.attempts), sent: now, place: -1}
 	if c.slices != nil {
 		a.Districts, a.Epoch = p.Range, c.slices.Routed(p.Leg)
 	}
@@ -473,12 +521,33 @@
 	c.back.Send(a)
 }
 
-// Cancel stops waiting for an attempt.
+// sendBy is until when an attempt that is decided now may begin: while the node may still be draining, and,
+// for a repeat that is dropped only within the window of the first attempt, within that.
+func (c *Core) sendBy(now float64, p *part) float64 {
+	by, class := now+c.hold, &c.classes[p.req.Class]
+	if class.Effect != balance.Keyed {
+		return by
+	}
+	for _, a := range p.attempts {
+		if !a.ended || a.how < balance.Full {
+			by = min(by, a.sent+class.Window)
+		}
+	}
+	return by
+}
+
+// Cancel stops waiting for an attempt. One of a client that has gone and that must not run twice is left to
+// end by itself, if it has begun (see leave).
 func (c *Core) Cancel(id uint64, attempt int) {
-	if a := c.out[[2]uint64{id, uint64(attempt)}]; a != nil && !a.ended {
-		c.back.Abandon(a)
-		c.Later(a, balance.Cancelled)
+	a := c.out[[2]uint64{id, uint64(attempt)}]
+	if a == nil || a.ended {
+		return
+	}
+	if a.Once && a.part.req.left && !c.back.Withdraw(a) {
+		return
 	}
+	c.back.Abandon(a)
+	c.Later(a, balance.Cancelled)
 }
 
 // DropIdle closes idle connections.
--- a/internal/core/moving_test.go
+++ b/internal/core/moving_test.go
@@ -34,6 +34,7 @@
 func (r *rig) Send(a *Attempt)               { r.sent, r.every = append(r.sent, a), append(r.every, a) }
 func (r *rig) Flush()                        {}
 func (r *rig) DropIdle(uint32)               {}
+func (r *rig) Withdraw(*Attempt) bool        { return false }
 func (r *rig) Abandon(a *Attempt) (ran bool) { r.take(a); return false }
 
 func (r *rig) take(a *Attempt) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	dialMost  = 1000.0 // ms
-	maxAnswer = 64<<10 + 16<<10
+	dialMost  = 1000.0    // ms
+	maxAnswer = 256 << 10 // bytes: a list of 64 KiB that is indented, with its head, has room
 	path      = "/catalog/members"
 )
 
@@ -156,7 +156,7 @@
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 		eof, err := w.s.Read(maxAnswer)
 		s, calls := w.s, w.calls
-		if w.answer(); w.s != s {
+		if w.answer(eof); w.s != s {
 			return // the connection is closed
 		}
 		switch {
@@ -181,12 +181,12 @@
 	w.write()
 }
 
-// answer takes a whole answer, and goes on with the watch.
-func (w *Watcher) answer() {
-	status, body, size, last, err := httpanswer.Parse(w.s.In, maxAnswer)
+// answer takes a whole answer, and goes on with the watch. ended tells that discovery has closed.
+func (w *Watcher) answer(ended bool) {
+	status, body, size, last, err := httpanswer.Parse(w.s.In, maxAnswer, ended)
 	if err == nil && size == 0 {
 		if len(w.s.In) >= maxAnswer {
-			w.fail(logs.DiscoveryBad, errors.New("answer over 64 KiB"))
+			w.fail(logs.DiscoveryBad, fmt.Errorf("answer over %d bytes", maxAnswer))
 		}
 		return
 	}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -257,15 +257,8 @@
 // discard throws away what the caller still sends, so that our close does not become a reset that takes
 // the answer with it; the caller's close ends the connection.
 func (c *conn) discard() {
-	for range 4 {
-		n, err := c.s.Discard()
-		switch {
-		case errors.Is(err, unix.EAGAIN):
-			return
-		case err != nil || n == 0:
-			c.close(logs.OperatorDone, nil)
-			return
-		}
+	if _, eof, err := c.s.Drop(); eof || err != nil {
+		c.close(logs.OperatorDone, nil)
 	}
 }
 
--- a/internal/flight/front.go
+++ b/internal/flight/front.go
@@ -35,6 +35,7 @@
 	keyClass  = "x-class"
 	keyTenant = "x-tenant"
 	keyRetry  = "x-retry"
+	keyDedup  = "idempotency-key"
 )
 
 const (
@@ -172,7 +173,7 @@
 		return contract.Envelope{}, status.Error(codes.InvalidArgument, "the call has no deadline")
 	}
 	return contract.Envelope{ID: one(keyID), Class: one(keyClass), Tenant: one(keyTenant),
-		Retry: one(keyRetry) == "1"}, nil
+		Retry: one(keyRetry) == "1", DedupKey: one(keyDedup)}, nil
 }
 
 // refusal maps what a front says of a query that core has not taken.
--- a/internal/flight/nodes.go
+++ b/internal/flight/nodes.go
@@ -111,9 +111,10 @@
 		}
 		x.ch.out++
 		left := time.Duration(max(x.Deadline-n.loop.Now(), 1) * 1e6)
+		hold := time.Duration(max(min(x.SendBy-n.loop.Now(), n.o.DialTimeout), 0) * 1e6)
 		ctx, cancel := context.WithTimeout(context.Background(), left)
 		x.cancel = cancel
-		go n.run(ctx, x, left)
+		go n.run(ctx, x, left, hold)
 	}
 }
 
@@ -164,18 +165,32 @@
 	}
 }
 
-// Abandon implements core.Backend.
-func (n *Nodes) Abandon(a *core.Attempt) (neverRan bool) {
+// Withdraw implements core.Backend.
+func (n *Nodes) Withdraw(a *core.Attempt) bool {
 	x, _ := a.Handle.(*attempt)
-	if x == nil || x.over {
+	if x == nil || x.over || !x.state.CompareAndSwap(stateWaiting, stateDropped) {
 		return false
 	}
-	x.over = true
-	neverRan = x.state.CompareAndSwap(stateWaiting, stateDropped)
-	if x.cancel != nil {
+	n.leave(x)
+	return true
+}
+
+// Abandon implements core.Backend.
+func (n *Nodes) Abandon(a *core.Attempt) (neverRan bool) {
+	if n.Withdraw(a) {
+		return true
+	}
+	if x, _ := a.Handle.(*attempt); x != nil && !x.over {
+		n.leave(x)
+	}
+	return false
+}
+
+// leave ends the wait for an attempt.
+func (n *Nodes) leave(x *attempt) {
+	if x.over = true; x.cancel != nil {
 		x.cancel()
 	}
-	return neverRan
 }
 
 // DropIdle implements core.Backend.
@@ -199,10 +214,10 @@
 }
 
 // run is the goroutine of one attempt: gRPC's calls wait. It tells the loop of the outcome and touches
-// nothing else.
-func (n *Nodes) run(ctx context.Context, x *attempt, left time.Duration) {
+// nothing else. The call begins within hold or not at all.
+func (n *Nodes) run(ctx context.Context, x *attempt, left, hold time.Duration) {
 	defer x.cancel()
-	o, value := n.ask(ctx, x, left)
+	o, value := n.ask(ctx, x, left, hold)
 	n.loop.Post(func() {
 		if x.ch.out--; x.ch.retired {
 			n.retire(x.ch)
@@ -225,6 +240,7 @@
 	Shard int    `json:"shard"`
 	D     int    `json:"d"`
 	Q     string `json:"q"`
+	K     string `json:"k,omitempty"` // the client's key by which repeats are dropped
 
 	// Where slices move: the epoch by which the part was routed and its districts, hi not included.
 	Epoch uint64 `json:"e,omitempty"`
@@ -232,9 +248,11 @@
 }
 
 // ask carries out one attempt.
-func (n *Nodes) ask(ctx context.Context, x *attempt, left time.Duration) (o balance.Outcome, value []byte) {
+func (n *Nodes) ask(ctx context.Context, x *attempt, left, hold time.Duration) (o balance.Outcome,
+	value []byte) {
 	begin := time.Now()
-	if !n.connected(ctx, x.ch.cc) || !x.state.CompareAndSwap(stateWaiting, stateCalled) {
+	up := n.connected(ctx, x.ch.cc, hold) && time.Since(begin) <= hold
+	if !up || !x.state.CompareAndSwap(stateWaiting, stateCalled) {
 		x.state.CompareAndSwap(stateWaiting, stateDropped)
 		return balance.ConnectFailed, nil // no call was begun: it never ran
 	}
@@ -245,7 +263,7 @@
 		}
 	}()
 	ask := ticket{ID: fmt.Sprintf("%s.%d", x.Request, x.Shard), Shard: x.Shard,
-		D: max(int((left - time.Since(begin)).Milliseconds()), 1), Q: string(x.Text)}
+		D: max(int((left - time.Since(begin)).Milliseconds()), 1), Q: string(x.Text), K: x.DedupKey}
 	if x.Epoch > 0 {
 		ask.ID, ask.Epoch, ask.Range = fmt.Sprintf("%s.%d", ask.ID, x.Districts.Lo), x.Epoch, &x.Districts
 	}
@@ -284,9 +302,9 @@
 	return balance.OK, value
 }
 
-// connected waits until a connection is up, for the dial time-out at most. A refused one tells at once.
-func (n *Nodes) connected(ctx context.Context, cc *grpc.ClientConn) bool {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.o.DialTimeout*1e6))
+// connected waits until a connection is up, for so long at most. A refused one tells at once.
+func (n *Nodes) connected(ctx context.Context, cc *grpc.ClientConn, most time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	state := cc.GetState()
 	if state == connectivity.TransientFailure {
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -13,8 +13,10 @@
 var errAnswer = errors.New("malformed answer")
 
 // Parse takes one HTTP answer off in; size is 0 while it is not whole, last tells that no other follows on
-// its connection. An answer said to have more than most bytes is malformed.
-func Parse(in []byte, most int) (status int, body []byte, size int, last bool, err error) {
+// its connection. ended tells that its sender has closed the connection, with nothing to come: that is the
+// end of an answer that says no length, where a reset ends none (RFC 9112, 6.3 and 8). An answer said to have
+// more than most bytes is malformed.
+func Parse(in []byte, most int, ended bool) (status int, body []byte, size int, last bool, err error) {
 	end := bytes.Index(in, []byte("\r\n\r\n"))
 	if end < 0 {
 		return 0, nil, 0, false, nil
@@ -27,7 +29,8 @@
 	if status, err = strconv.Atoi(f[1]); err != nil {
 		return 0, nil, 0, false, errAnswer
 	}
-	length, chunked := int64(0), false
+	length, chunked := int64(-1), false
+	last = f[0] == "HTTP/1.0"
 	for rest != "" {
 		line, rest, _ = strings.Cut(rest, "\r\n")
 		name, value, _ := strings.Cut(line, ":")
@@ -39,10 +42,17 @@
 		case "transfer-encoding":
 			chunked = strings.EqualFold(value, "chunked")
 		case "connection":
-			last = strings.EqualFold(value, "close")
+			last = strings.EqualFold(value, "close") || last && !strings.EqualFold(value, "keep-alive")
 		}
 	}
 	at := end + 4
+	if !chunked && length < 0 {
+		// What says that it failed is not waited for: its words count for nothing.
+		if status == 200 && !ended {
+			return 0, nil, 0, false, nil
+		}
+		return status, in[at:], len(in), true, nil
+	}
 	if !chunked {
 		if len(in) < at+int(length) {
 			return 0, nil, 0, false, nil
--- a/internal/lab/world/virtual.go
+++ b/internal/lab/world/virtual.go
@@ -412,13 +412,21 @@
 // DropIdle implements core.Backend: connections cost nothing here.
 func (b *virtual) DropIdle(uint32) {}
 
+// Withdraw implements core.Backend.
+func (b *virtual) Withdraw(a *core.Attempt) bool {
+	i := slices.Index(b.turn, a.Handle.(*sending))
+	if i >= 0 {
+		b.turn = slices.Delete(b.turn, i, i+1)
+	}
+	return i >= 0
+}
+
 // Abandon implements core.Backend.
 func (b *virtual) Abandon(a *core.Attempt) (neverRan bool) {
-	f := a.Handle.(*sending)
-	if i := slices.Index(b.turn, f); i >= 0 {
-		b.turn = slices.Delete(b.turn, i, i+1)
+	if b.Withdraw(a) {
 		return true
 	}
+	f := a.Handle.(*sending)
 	f.leave()
 	// The word that it is given up follows it on its connection.
 	s := b.sim
--- a/internal/leafs/conn.go
+++ b/internal/leafs/conn.go
@@ -188,6 +188,7 @@
 		return
 	}
 	now := c.pool.loop.Now()
+	c.expire(now)
 	for {
 		if err := c.s.Flush(); err != nil {
 			c.close(logs.LeafReset, err)
@@ -222,12 +223,40 @@
 	}
 }
 
-// stuck gives up the calls that wait unwritten on a connection that takes nothing; it gets no new ones.
-func (c *conn) stuck() {
+// sendBy is when the first part that is not wholly written has to be, if any is.
+func (c *conn) sendBy() float64 {
+	by := math.Inf(1)
+	for _, k := range c.calls {
+		if k.end > 0 && k.end <= c.s.Wrote {
+			continue
+		}
+		for _, o := range k.parts {
+			if !o.over || k.end > 0 {
+				by = min(by, o.a.SendBy)
+			}
+		}
+	}
+	return by
+}
+
+// stuck gives up parts whose time to begin is over; the connection gets no new ones. A frame that is written
+// in part can only be taken back by closing the connection.
+func (c *conn) stuck(now float64) {
+	for _, k := range c.calls {
+		if k.end > c.s.Wrote && slices.ContainsFunc(k.parts, func(o *out) bool { return now >= o.a.SendBy }) {
+			c.close(logs.LeafStuck, nil)
+			return
+		}
+	}
 	c.retire(logs.LeafStuck)
+	c.expire(now)
+}
+
+// expire takes out of the waiting calls what may not begin any more.
+func (c *conn) expire(now float64) {
 	for _, k := range slices.Clone(c.waiting) {
 		for _, o := range k.parts {
-			if !o.over {
+			if !o.over && now >= o.a.SendBy {
 				o.over = true
 				c.done(o)
 				c.pool.core.Later(o.a, balance.ConnectFailed)
--- a/internal/leafs/frame.go
+++ b/internal/leafs/frame.go
@@ -37,15 +37,19 @@
 	return out
 }
 
-// appendPart adds one part to a Q frame: its line and the query's text. Where slices move, the list also
-// tells the epoch by which the part was routed and its districts: d=240,e=17,r=120-135, the last one not
-// included.
+// appendPart adds one part to a Q frame: its line and the query's text. The list holds the time that we wait
+// and, where the client gave one, the key by which the node drops repeats: d=240,k=7f3a. Where slices move,
+// it also tells the epoch by which the part was routed and its districts: d=240,e=17,r=120-135, the last one
+// not included.
 func appendPart(out []byte, id string, a *core.Attempt, wait int, text []byte) []byte {
 	out = append(out, id...)
 	out = append(out, ' ')
 	out = strconv.AppendInt(out, int64(a.Shard), 10)
 	out = append(out, " d="...)
 	out = strconv.AppendInt(out, int64(wait), 10)
+	if a.DedupKey != "" {
+		out = append(append(out, ",k="...), a.DedupKey...)
+	}
 	if a.Epoch > 0 {
 		out = append(out, ",e="...)
 		out = strconv.AppendUint(out, a.Epoch, 10)
--- a/internal/leafs/pool.go
+++ b/internal/leafs/pool.go
@@ -27,9 +27,7 @@
 const (
 	idleShare = 0.9    // of the leaf's idle time, after which we close: a close that crosses a part resets it
 	idleSpare = 1500.0 // ms: at least so long before the leaf does
-	heldMost  = 400.0  // ms that a part may wait unwritten: guards the drain rule against a connection that
-	// takes nothing, as the module's decision to send is then no longer of now
-	maxRead = 2 * maxFrame
+	maxRead   = 2 * maxFrame
 
 	wholeMost = 300.0 // ms from a frame's first byte to its last
 	spread    = 4     // connections to a leaf on which nothing else is out, before calls share one
@@ -188,8 +186,8 @@
 	return best
 }
 
-// Abandon implements core.Backend.
-func (p *Pool) Abandon(a *core.Attempt) (neverRan bool) {
+// Withdraw implements core.Backend.
+func (p *Pool) Withdraw(a *core.Attempt) bool {
 	if l := p.leafs[a.Node]; l != nil {
 		if i := slices.Index(l.turn, a); i >= 0 {
 			l.turn = slices.Delete(l.turn, i, i+1)
@@ -197,15 +195,25 @@
 		}
 	}
 	o, _ := a.Handle.(*out)
-	if o == nil || o.over {
+	if o == nil || o.over || o.call.end > 0 {
 		return false
 	}
-	k, c := o.call, o.call.conn
 	o.over = true
-	if k.end == 0 { // not encoded: it is left out of the frame
-		c.done(o)
+	o.call.conn.done(o) // not encoded: it is left out of the frame
+	return true
+}
+
+// Abandon implements core.Backend.
+func (p *Pool) Abandon(a *core.Attempt) (neverRan bool) {
+	if p.Withdraw(a) {
 		return true
 	}
+	o, _ := a.Handle.(*out)
+	if o == nil || o.over {
+		return false
+	}
+	k, c := o.call, o.call.conn
+	o.over = true
 	if c.given[o.id] = true; c.heard < k.sent {
 		// Nothing has come since the part went out: the connection may have gone dead unseen. A new one tells
 		// whether the leaf can be reached.
@@ -276,8 +284,8 @@
 				c.close(c.retired, nil)
 			case len(c.calls) == 0 && now >= c.idleAt:
 				c.close(logs.LeafIdle, nil)
-			case len(c.waiting) > 0 && now >= c.waiting[0].sent+heldMost:
-				c.stuck()
+			case now >= c.sendBy():
+				c.stuck(now)
 			}
 		}
 		if len(l.conns) == 0 && len(l.turn) == 0 && p.address(l.node) == "" {
@@ -300,9 +308,7 @@
 			if c.retired != "" && len(c.calls) == 0 {
 				next = min(next, p.loop.Now())
 			}
-			if len(c.waiting) > 0 {
-				next = min(next, c.waiting[0].sent+heldMost)
-			}
+			next = min(next, c.sendBy())
 		}
 	}
 	p.timer.Set(next)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -18,8 +18,10 @@
 const Epoch = 24 * 3600 * 1000.0
 
 const (
-	maxEvents = 128
-	longest   = 60_000.0 // ms: the longest sleep, a bound on what a clock mistake could cost
+	maxEvents  = 128
+	mostRounds = 16       // batches of events before a decision is made without the rest
+	stale      = 20.0     // ms that a wake-up may be old at its decision: what has come since is read first
+	longest    = 60_000.0 // ms: the longest sleep, a bound on what a clock mistake could cost
 )
 
 // Handler is a connection, a listener or another owner of a descriptor.
@@ -43,12 +45,19 @@
 // Sooner moves the timer to a time if that is before the present one.
 func (t *Timer) Sooner(at float64) { t.at = min(t.at, at) }
 
+// watched is a descriptor that was added.
+type watched struct {
+	Handler
+	nth int32
+}
+
 // Loop is an epoll loop.
 type Loop struct {
 	epoll, wake int
 	start       time.Time
 	now         float64
-	handlers    map[int32]Handler
+	handlers    map[int32]watched
+	added       int32 // descriptors so far: tells the events of one from those of the next of its number
 	timers      []*Timer
 	turn        func()
 	stopped     bool
@@ -67,7 +76,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("eventfd: %w", err)
 	}
-	l := &Loop{epoll: ep, wake: wake, start: time.Now(), now: Epoch, handlers: map[int32]Handler{}}
+	l := &Loop{epoll: ep, wake: wake, start: time.Now(), now: Epoch, handlers: map[int32]watched{}}
 	if err := l.Add(wake, unix.EPOLLIN, l); err != nil {
 		return nil, err
 	}
@@ -88,17 +97,19 @@
 
 // Add registers a descriptor.
 func (l *Loop) Add(fd int, events uint32, h Handler) error {
-	e := unix.EpollEvent{Events: events, Fd: int32(fd)}
+	l.added++
+	e := unix.EpollEvent{Events: events, Fd: int32(fd), Pad: l.added}
 	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
 		return fmt.Errorf("epoll add: %w", err)
 	}
-	l.handlers[int32(fd)] = h
+	l.handlers[int32(fd)] = watched{h, l.added}
 	return nil
 }
 
 // Want changes what a descriptor is watched for.
 func (l *Loop) Want(fd int, events uint32) {
-	_ = unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
+	e := unix.EpollEvent{Events: events, Fd: int32(fd), Pad: l.handlers[int32(fd)].nth}
+	_ = unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, fd, &e)
 }
 
 // Close forgets a descriptor and closes it.
@@ -133,34 +144,58 @@
 
 // Run serves until Stop.
 func (l *Loop) Run() error {
-	var events [maxEvents]unix.EpollEvent
 	for !l.stopped {
-		n, err := unix.EpollWait(l.epoll, events[:], l.sleep())
+		sleep := l.sleep()
+		for range mostRounds {
+			if err := l.gather(sleep); err != nil {
+				return err
+			}
+			if sleep = 0; l.Clock()-l.now < stale {
+				break
+			}
+		}
+		if l.turn != nil {
+			l.turn()
+		}
+	}
+	return nil
+}
+
+// gather waits for events, and hands in all that has happened: every event that the kernel holds, what other
+// threads have posted, and the timers that are due.
+func (l *Loop) gather(sleep int) error {
+	var events [maxEvents]unix.EpollEvent
+	for range mostRounds {
+		n, err := unix.EpollWait(l.epoll, events[:], sleep)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("epoll wait: %w", err)
 		}
 		l.now = l.Clock()
 		for i := range max(n, 0) {
-			// A handler closed earlier in this wake-up is gone from the map: guards against stale events.
-			if h := l.handlers[events[i].Fd]; h != nil {
-				h.Ready(events[i].Events)
+			// One closed earlier in this batch is gone from the map, or its number is another's by now: guards
+			// new connections against the events of old ones.
+			if w := l.handlers[events[i].Fd]; w.Handler != nil && w.nth == events[i].Pad {
+				w.Ready(events[i].Events)
 			}
 		}
-		l.mu.Lock()
-		work := l.posted
-		l.posted = nil
-		l.mu.Unlock()
-		for _, f := range work {
-			f()
-		}
-		for _, t := range l.timers {
-			if l.now >= t.at {
-				t.Stop()
-				t.fire()
-			}
+		// A signal, also the one that lets a stopped process go on, ends the wait with nothing read, and a full
+		// batch leaves the rest behind.
+		if err == nil && n < maxEvents {
+			break
 		}
-		if l.turn != nil {
-			l.turn()
+		sleep = 0
+	}
+	l.mu.Lock()
+	work := l.posted
+	l.posted = nil
+	l.mu.Unlock()
+	for _, f := range work {
+		f()
+	}
+	for _, t := range l.timers {
+		if l.now >= t.at {
+			t.Stop()
+			t.fire()
 		}
 	}
 	return nil
--- a/internal/loop/stream.go
+++ b/internal/loop/stream.go
@@ -7,7 +7,10 @@
 	"golang.org/x/sys/unix"
 )
 
-const readSize = 16 << 10
+const (
+	readSize  = 16 << 10
+	dropReads = 4 // of what is thrown away in one wake-up
+)
 
 var scratch [readSize]byte // the loop is one thread
 
@@ -55,10 +58,29 @@
 	return n > 0 || errors.Is(err, unix.EAGAIN)
 }
 
-// Discard reads once and drops what came.
-func (s *Stream) Discard() (int, error) {
-	n, err := unix.Read(s.FD, scratch[:])
-	return max(n, 0), err
+// Unread tells that bytes have come that were not read.
+func (s *Stream) Unread() bool {
+	var b [1]byte
+	n, _, _ := unix.Recvfrom(s.FD, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return n > 0
+}
+
+// Drop throws away what has come, a few reads at most, and tells how much that was.
+func (s *Stream) Drop() (n int, eof bool, err error) {
+	for range dropReads {
+		k, err := unix.Read(s.FD, scratch[:])
+		switch {
+		case k > 0:
+			n += k
+		case err == nil:
+			return n, true, nil
+		case errors.Is(err, unix.EAGAIN):
+			return n, false, nil
+		case !errors.Is(err, unix.EINTR):
+			return n, false, err
+		}
+	}
+	return n, false, nil
 }
 
 // Consume drops parsed bytes.
--- a/test/clients_test.go
+++ b/test/clients_test.go
@@ -145,19 +145,20 @@
 	asked(t, p, "after", "quote", "served")
 }
 
-// statuses are those of the answers to some bytes, up to the close.
+// statuses are those of the answers to some bytes, up to the close. A last request that asks for the close, and whose
+// answer is told by its words, stands behind them: whatever is wrongly served before it is seen.
 func statuses(t *testing.T, p *program, text string) (got []int) {
 	conn := dial(t, p)
-	_, err := io.WriteString(conn, text)
+	_, err := io.WriteString(conn, text+"DELETE /_health HTTP/1.1\r\nConnection: close\r\n\r\n")
 	require.NoError(t, err)
-	require.NoError(t, conn.CloseWrite()) // a half-close: the client still reads
 	for r := bufio.NewReader(net.Conn(conn)); ; {
 		a, err := http.ReadResponse(r, nil)
 		if err != nil {
 			return got
 		}
-		_, _ = io.Copy(io.Discard, a.Body)
-		got = append(got, a.StatusCode)
+		if body, _ := io.ReadAll(a.Body); !strings.Contains(string(body), "GET only") {
+			got = append(got, a.StatusCode)
+		}
 	}
 }
 
--- /dev/null
+++ b/test/crossings_test.go
@@ -0,0 +1,286 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"ternstage/internal/lab/loopback"
+)
+
+// The pairs of events of docs/design/crossings.md, each forced into its bad order: a stand-in holds one side back, or
+// the program is stopped (SIGSTOP) while both happen, so that it finds them in one wake-up.
+
+// passes sees the loop go round a good many times, for whatever it might still do by mistake.
+func passes(t *testing.T, p *program) {
+	for i := range 25 {
+		asked(t, p, fmt.Sprintf("pass%d-%d", time.Now().UnixNano(), i), "quote", "served")
+	}
+}
+
+// open sends a query, of as much time as its class has, over a connection of its own and leaves it open.
+func open(t *testing.T, p *program, id, class string, shards ...int) *net.TCPConn {
+	q := query{shards: shards}
+	text := strings.Replace(strings.ReplaceAll(sized(id, q.text()), "quote", class), "0.9", "9", 1)
+	c := dial(t, p)
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+	return c
+}
+
+// begun are the attempts of a query that reached nodes.
+func begun(ns *nodes, id string) (n int) {
+	for _, s := range ns.all() {
+		if strings.HasPrefix(s.id, id+".") {
+			n++
+		}
+	}
+	return n
+}
+
+func waitBegun(t *testing.T, ns *nodes, id string, n int) {
+	require.Eventually(t, func() bool { return begun(ns, id) >= n }, patience, time.Millisecond, id)
+}
+
+// stopped stops the program, has all of that happen, and lets it go on.
+func stopped(p *program, happens func()) {
+	require.NoError(p.t, p.Process.Signal(syscall.SIGSTOP))
+	state := func() string {
+		text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+		return string(text[bytes.LastIndexByte(text, ')')+2:][:1])
+	}
+	require.Eventually(p.t, func() bool { return state() == "T" }, patience, time.Millisecond)
+	happens()
+	require.NoError(p.t, p.Process.Signal(syscall.SIGCONT))
+}
+
+// TestGoneUnsafe: a client goes while a part of it that must not run twice is out. The part is turned away afterwards, so
+// that it never ran: for a client that stays it would go to another node, for one that has gone it does not.
+func TestGoneUnsafe(t *testing.T) {
+	for _, stays := range []bool{true, false} {
+		ns, p := site(t, func(s sent, _ int) deed {
+			if strings.HasPrefix(s.id, "bind-1.") {
+				return busyOnceLet
+			}
+			return serve
+		}, options{})
+		c := open(t, p, "bind-1", "bind", 1)
+		waitBegun(t, ns, "bind-1", 1)
+		if !stays {
+			_ = c.Close()
+			p.waitLog(`"code":"C03"`)
+		}
+		close(ns.let)
+		if stays {
+			waitBegun(t, ns, "bind-1", 2)
+			continue
+		}
+		passes(t, p)
+		assert.Equal(t, 1, begun(ns, "bind-1"))
+		p.waitLog(`"id":"bind-1","end":"failed","class":1,"client_left":true`)
+	}
+}
+
+// TestGoneAtOnce: a client closes right behind its request, in the same wake-up. Nothing of it begins.
+func TestGoneAtOnce(t *testing.T) {
+	ns, p := site(t, nil, options{})
+	for _, class := range []string{"quote", "bind"} {
+		c := dial(t, p)
+		stopped(p, func() {
+			_, err := io.WriteString(c, strings.ReplaceAll(sized("at-once", good), "quote", class))
+			require.NoError(t, err)
+			_ = c.Close()
+		})
+		p.waitLog(fmt.Sprintf(`"code":"C03","peer":"%s"`, c.LocalAddr()))
+		passes(t, p)
+		assert.Zero(t, begun(ns, "at-once"), class)
+	}
+}
+
+// TestGoneWhileStopped: a part waits for a cold node to open, 1.5 s after the start. Meanwhile the program does not run,
+// its client closes, and the time comes. What the program finds first is that its wait was interrupted.
+func TestGoneWhileStopped(t *testing.T) {
+	s := settings()
+	for _, c := range s["categories"].([]any) {
+		c.(map[string]any)["aim_ms"], c.(map[string]any)["deadline_ms"] = 5000, 8000
+	}
+	ns := startNodes(t, wires[0], nil, 0, 2, 3)
+	ns.members[1].UpSinceMS = time.Now().UnixMilli()
+	p := start(t, options{settings: s, members: ns.members[1:2]})
+	at := time.Now()
+	stays, goes := open(t, p, "stays", "quote", 1), open(t, p, "goes", "quote", 1)
+	require.Eventually(t, func() bool { return taken(t, p) == 2 }, patience, time.Millisecond)
+	stopped(p, func() {
+		_ = goes.Close()
+		time.Sleep(time.Until(at.Add(2 * time.Second))) // past the time at which the node opens
+	})
+	answeredWhole(t, stays, 200, false)
+	p.waitLog(fmt.Sprintf(`"code":"C03","peer":"%s"`, goes.LocalAddr()))
+	passes(t, p)
+	assert.Equal(t, []int{1, 0}, []int{begun(ns, "stays"), begun(ns, "goes")})
+}
+
+// taken is how many queries the program has taken of the tests' tenant.
+func taken(t *testing.T, p *program) int {
+	r, err := http.Get("http://" + p.addr + "/_contracts")
+	require.NoError(t, err)
+	defer r.Body.Close()
+	var b struct{ Taken map[string]int }
+	require.NoError(t, json.NewDecoder(r.Body).Decode(&b))
+	return b.Taken["gangasagar-life"]
+}
+
+// TestGoneBehindFlood: a client sends far more than the program holds behind its request, and goes. Its end stands behind
+// all that, and is seen all the same: the part that a node has swallowed is not moved to another.
+func TestGoneBehindFlood(t *testing.T) {
+	ns, p := site(t, func(s sent, _ int) deed {
+		if strings.HasPrefix(s.id, "flood.") {
+			return swallow
+		}
+		return serve
+	}, options{})
+	c := open(t, p, "flood", "quote", 1)
+	waitBegun(t, ns, "flood", 1)
+	for range 64 {
+		_, err := c.Write(bytes.Repeat([]byte("x"), 64<<10))
+		require.NoError(t, err)
+	}
+	_ = c.Close()
+	p.waitLog(fmt.Sprintf(`"code":"C03","peer":"%s"`, c.LocalAddr()))
+	passes(t, p)
+	assert.Equal(t, 1, begun(ns, "flood"))
+}
+
+// TestStaysBehindFlood: the same client stays: its first request is answered, as the connection's last.
+func TestStaysBehindFlood(t *testing.T) {
+	ns, p := site(t, func(s sent, _ int) deed {
+		if strings.HasPrefix(s.id, "flood.") {
+			return serveOnceLet
+		}
+		return serve
+	}, options{})
+	c := open(t, p, "flood", "quote", 1)
+	waitBegun(t, ns, "flood", 1)
+	_, err := c.Write(bytes.Repeat([]byte("x"), 4<<20))
+	require.NoError(t, err)
+	close(ns.let)
+	answeredWhole(t, c, 200, true)
+}
+
+// answeredWhole reads an answer and, where the connection ends behind it, sees that it ends by a close and not a reset.
+func answeredWhole(t *testing.T, c net.Conn, status int, last bool) {
+	t.Helper()
+	r := bufio.NewReader(c)
+	a, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(a.Body)
+	require.NoError(t, err)
+	assert.Equal(t, status, a.StatusCode)
+	require.Equal(t, last, a.Close)
+	if last {
+		_, err = io.Copy(io.Discard, r)
+		assert.NoError(t, err, "the connection is reset")
+	}
+}
+
+// full is a listener whose queue is full: a connection to it comes up, by the kernel's next try after 1 s, once drain has
+// been called.
+func full(t *testing.T) (address string, drain func() net.Listener) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	host, _, _ := net.SplitHostPort(loopback.Own())
+	var at unix.SockaddrInet4
+	copy(at.Addr[:], net.ParseIP(host).To4())
+	require.NoError(t, unix.Bind(fd, &at))
+	require.NoError(t, unix.Listen(fd, 0))
+	f := os.NewFile(uintptr(fd), "full")
+	ln, err := net.FileListener(f)
+	require.NoError(t, err)
+	_ = f.Close()
+	t.Cleanup(func() { _ = ln.Close() })
+	var held []net.Conn
+	for { // those that the queue takes
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		held = append(held, c)
+	}
+	return ln.Addr().String(), func() net.Listener {
+		for range held {
+			c, err := ln.Accept()
+			require.NoError(t, err)
+			_ = c.Close()
+		}
+		return ln
+	}
+}
+
+// TestLateConnection: a connection to the only node comes up after 1 s, when the part that waited for it has been given
+// up as its time to begin was over, or its client has gone. Nothing of that part begins on it; it is used for the next.
+func TestLateConnection(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		address, drain := full(t)
+		s := settings()
+		s["limits"].(map[string]any)["dial_timeout_ms"] = 3000
+		ns := startNodes(t, wires[0], nil, 1, 2, 3)
+		ns.members[1].Address = address
+		p := start(t, options{settings: s, members: ns.members[1:2]})
+		c := open(t, p, "early", "quote", 1)
+		if gone {
+			require.Eventually(t, func() bool { return sockets(t, p.Process.Pid) >= 8 }, patience, time.Millisecond)
+			_ = c.Close()
+			p.waitLog(fmt.Sprintf(`"code":"C03","peer":"%s"`, c.LocalAddr()))
+		} else {
+			answeredWhole(t, c, 503, false)
+		}
+		ln := drain()
+		t.Cleanup(frameNode(ns, "s-1", ln))
+		require.Eventually(t, func() bool {
+			return askHTTP(context.Background(), p, query{id: fmt.Sprint("late", time.Now().UnixNano()), class: "quote",
+				tenant: "gangasagar-life", shards: []int{1}, wait: 900 * time.Millisecond}).end == "served"
+		}, patience, 50*time.Millisecond)
+		assert.Zero(t, begun(ns, "early"))
+	}
+}
+
+// sockets is how many descriptors a process has open.
+func sockets(t *testing.T, pid int) int {
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	require.NoError(t, err)
+	return len(files)
+}
+
+// TestDedupKey: the key by which nodes drop a client's repeats goes to them with each part; one that would break the
+// frame's line is no key.
+func TestDedupKey(t *testing.T) {
+	s := settings()
+	s["categories"].([]any)[0].(map[string]any)["effect"] = "idempotency_key"
+	ns, p := site(t, first(fail), options{settings: s})
+	with := func(key string) string {
+		return strings.Replace(sized("keyed", good), "X-Class", "Idempotency-Key: "+key+"\r\nX-Class", 1)
+	}
+	assert.Equal(t, []int{200}, statuses(t, p, with("d3f98de5ee7a5332")))
+	all := ns.all()
+	require.Len(t, all, 2, "it failed once, and is dropped where it ran")
+	for _, x := range all {
+		assert.Regexp(t, `^Qkeyed\.1 1 d=[0-9]+,k=d3f98de5ee7a5332 8\nc41e77d0$`, string(x.raw))
+	}
+	for _, bad := range []string{"a b", "a,d=9", strings.Repeat("k", 129)} {
+		assert.Equal(t, []int{400}, statuses(t, p, with(bad)), bad)
+	}
+}
--- a/test/standin_test.go
+++ b/test/standin_test.go
@@ -44,6 +44,7 @@
 	cutInAnswer  // breaks halfway through the answer
 	cutAfter     // breaks right after the answer
 	serveOnceLet // answers once the test lets it
+	busyOnceLet  // turns it away once the test lets it
 	spoil        // answers with what cannot be read, and stays
 	serveMore    // answers twice, with noise behind it
 	sendRaw      // sends what the test says
@@ -350,7 +351,7 @@
 	if d == swallow {
 		return
 	}
-	if d == serveOnceLet {
+	if d == serveOnceLet || d == busyOnceLet {
 		<-ns.let
 	}
 	ok := frame('A', s.id+" ok 17 -\n"+doc(s.id))
@@ -359,7 +360,7 @@
 	switch d {
 	case fail:
 		_, _ = c.Write(frame('A', s.id+" err 0 -\n"))
-	case busy:
+	case busy, busyOnceLet:
 		_, _ = c.Write(frame('A', s.id+" busy 0 -\n"))
 	case cut:
 		_ = c.Close()
