--- a/balance/balance.go
+++ b/balance/balance.go
@@ -128,10 +128,10 @@
 func (b *Balancer) ListChanged(now float64, kind ListKind, entries []Entry) {
 	b.born = cmp.Or(b.born, now)
 	if kind == ListFailed {
-		// Ask again after a growing, spread delay: guards the list service against a crowd of dead calls. Some tens
-		// of peers ask soon: what the service has counts as told 6 s after it could be reached.
-		b.watchWait = min(max(2*b.watchWait, watchMost/3, b.crowd()), max(watchMost, 2*b.crowd()-watchMost),
-			max(b.s.AskWithin/3, min(2*b.crowd(), 2*b.s.AskWithin), b.s.Tick))
+		// A growing, spread delay guards the service from a crowd; it is short among tens, as news is told in 6 s.
+		crowd := b.crowd() * float64(min(len(b.order), 1)) // without a list nothing can be served
+		b.watchWait = min(max(3*b.watchWait, watchMost/3, min(crowd, 2*watchMost)),
+			max(watchMost, 2*crowd-watchMost), max(b.s.AskWithin/3, min(2*crowd, 2*b.s.AskWithin), b.s.Tick))
 		b.watchAt = now + b.watchWait*(0.5+0.5*b.random())
 		return
 	}
--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -30,6 +30,7 @@
 
 const (
 	memoryShare = 0.6    // of the limit for the Go heap: the rest is the program's text, stacks and the kernel's
+	leastFiles  = 48     // descriptors with which the program starts at all
 	spareFiles  = 24     // descriptors for the loop, discovery, the log and the runtime
 	leafShare   = 4      // one in so many of the others is for leafs
 	clientBytes = 6      // one in so many bytes of the memory is for what clients send and are sent
@@ -85,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	files := cfg.Sockets - spareFiles
+	files := descriptors(cfg.Sockets, log) - spareFiles
 	if cfg.Mgmt != "" {
 		files -= door.MaxConns + 1 // the operators' door and its callers
 	}
@@ -95,26 +96,26 @@
 		fc.Conns = min(fc.Conns, clientFiles/2)
 		clientFiles -= fc.Conns
 	}
+	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
+		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes, Pages: x.pages(c, m),
+			Inherited: cfg.Inherited},
+		func() bool { return nodes.Size() > 0 && (m == nil || c.Epoch() > 0) })
+	if err != nil {
+		return err
+	}
 	var back backend
 	if fc.Nodes {
 		back = flight.NewNodes(l, c, log, flight.NodeOptions{Streams: cfg.Streams, DialTimeout: cfg.DialTimeout,
 			KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
 	} else {
 		back = leafs.NewPool(l, c, log, leafs.Options{PerCall: cfg.Module.PerCall, Streams: cfg.Streams,
-			DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare, Slices: m != nil},
-			nodes.Address)
+			DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare, Slices: m != nil,
+			Room: server.MakeRoom}, nodes.Address)
 	}
 	reader := membership.NewReader(membership.Options{Pushed: !cfg.Module.MustAsk,
 		DrainGrace: cfg.Module.DrainGrace, Me: cfg.Module.Me, Peers: cfg.Module.Peers})
-	watch := discovery.NewWatcher(l, c, log, nodes, reader, cfg.Discovery)
+	watch := discovery.NewWatcher(l, c, log, nodes, reader, cfg.Discovery, server.MakeRoom)
 	c.Attach(back, watch)
-	server, err := clients.NewServer(l, c, cfg.Book, log, cfg.Listen,
-		clients.Options{Conns: clientFiles, Bytes: cfg.MemoryMB << 20 / clientBytes, Pages: x.pages(c, m),
-			Inherited: cfg.Inherited},
-		func() bool { return nodes.Size() > 0 && (m == nil || c.Epoch() > 0) })
-	if err != nil {
-		return err
-	}
 	var ops *upkeep.Upkeep
 	if cfg.Mgmt != "" {
 		// Held leafs are read before the list, so that none of them is taken for serving at the start.
@@ -181,6 +182,16 @@
 	return nil
 }
 
+// descriptors is how many the process may hold: what it is told, or what the system allows if that is less.
+func descriptors(told int, log *logs.Log) int {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil || r.Cur >= uint64(told) {
+		return told
+	}
+	log.Warn("fewer descriptors than the limits say", zap.Int("sockets", told), zap.Uint64("allowed", r.Cur))
+	return max(int(r.Cur), leastFiles)
+}
+
 // backend is a core.Backend that the program can close.
 type backend interface {
 	core.Backend
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -332,11 +332,9 @@
 // all the same: its outcome is learnt and logged. Guards against a cancel that crosses a good answer.
 func (c *Core) leave(now float64, r *Request) {
 	c.module.ClientGone(now, r.id)
-	if r.unsafe && slices.ContainsFunc(r.parts, (*part).out) {
-		c.release(r)
-		return
+	if c.release(r); !r.unsafe || !slices.ContainsFunc(r.parts, (*part).out) {
+		c.conclude(r)
 	}
-	c.conclude(r)
 }
 
 // conclude ends a request whose client has gone and of which nothing is waited for any more.
--- /dev/null
+++ b/internal/core/leaving_test.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ternstage/balance"
+	"ternstage/internal/slicemap"
+)
+
+// side is a core before two nodes that hold the one shard, whose back end holds attempts until the test says more.
+type side struct {
+	*rig
+	begun map[*Attempt]bool // those that cannot be withdrawn any more
+}
+
+func (s *side) Withdraw(a *Attempt) bool {
+	if s.begun[a] {
+		return false
+	}
+	s.take(a)
+	return true
+}
+
+func newSide(t *testing.T, grace float64, cancel bool, class balance.Class) *side {
+	s := &side{rig: &rig{t: t, now: 1e6, wake: 1e12}, begun: map[*Attempt]bool{}}
+	class.Aim, class.Deadline, class.Worth, class.Floor, class.Need = 1000, 2000, 1, 1, 1
+	var err error
+	s.c, err = New(balance.Settings{Peers: 1, Tick: 5, Shards: 1, Cells: 1, Reach: 1, Layout: slicemap.NewFixed(1, 1, 1),
+		PerCall: 1, Cancel: cancel, MaxAttempts: 4, MaxRetryAfter: 1000, DrainGrace: grace,
+		Classes: []balance.Class{class}}, 7, Options{Clock: s, Log: s})
+	require.NoError(t, err)
+	s.c.Attach(s, s)
+	s.c.ListChanged(balance.ListFull, []balance.Entry{{Replica: 1, State: balance.Ready}, {Replica: 2, State: balance.Ready}})
+	s.turns(1)
+	return s
+}
+
+func (s *side) query() *Request {
+	s.n++
+	r := &Request{Name: fmt.Sprint("q", s.n), Deadline: s.now + 2000, Client: &ends{},
+		Parts: []Part{{Weight: 1, Cost: 10, Hinted: true}}}
+	require.NoError(s.t, s.c.Take(r))
+	s.turns(1)
+	return r
+}
+
+// TestSendBy: what is decided begins within 400 ms, or 0.4 of the grace of drains where that is less; a repeat of a part
+// that may have run begins within its class's window from the first attempt.
+func TestSendBy(t *testing.T) {
+	for grace, hold := range map[float64]float64{0: 400, 2000: 400, 800: 320} {
+		s := newSide(t, grace, true, balance.Class{Effect: balance.Keyed, Window: 250})
+		s.query()
+		first := s.every[0]
+		assert.Equal(t, s.now+hold, first.SendBy)
+		s.c.Ended(first, balance.Failed, nil)
+		s.turns(30)
+		require.Len(t, s.every, 2)
+		assert.Equal(t, first.sent+250, s.every[1].SendBy)
+		s = newSide(t, grace, true, balance.Class{Effect: balance.Keyed, Window: 250})
+		s.query()
+		s.c.Ended(s.every[0], balance.Full, nil) // it never ran: the next is a first one
+		s.turns(100)
+		require.Len(t, s.every, 2)
+		assert.Equal(t, s.every[1].sent+hold, s.every[1].SendBy)
+	}
+}
+
+// TestLeftWithdraws: a client goes while an attempt waits at the back end. Nothing of it begins, whether or not what has
+// begun may be cancelled; one that must not run twice and has begun is waited for, and is the request's last.
+func TestLeftWithdraws(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		for _, effect := range []balance.Effect{balance.Safe, balance.Unsafe} {
+			s := newSide(t, 1000, cancel, balance.Class{Effect: effect})
+			s.c.Left(s.query())
+			s.turns(1)
+			assert.Empty(t, s.sent)
+			assert.Zero(t, s.c.Open())
+			r := s.query()
+			s.begun[s.every[1]] = true
+			s.c.Left(r)
+			s.turns(1)
+			assert.Equal(t, effect == balance.Unsafe, s.c.Open() == 1)
+			s.c.Ended(s.every[1], balance.Full, nil)
+			s.turns(100)
+			assert.Zero(t, s.c.Open())
+			assert.Len(t, s.every, 2, "turned away, and no further try")
+		}
+	}
+}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -62,11 +62,20 @@
 	zones   map[string]int
 	byID    map[string]uint32
 	address map[uint32]string
-	listed  map[string]bool
+	listed  map[string]float64       // members that are listed, with their starts as the list says them
 	entries map[string]balance.Entry // of members that are listed, as the list says them
 	hold    Holder
+	ended   map[string]ending // of members that were told to drain or to be gone
 }
 
+// ending is how a member was told to drain or to be gone.
+type ending struct {
+	started  float64 // the member's start, as the list had it
+	revision uint64  // of the list that told it
+}
+
+const mostEnded = 4096 // members of which it is kept that they have drained or gone
+
 // Holder says which members the operators hold out of service, and hears of every member that is listed.
 type Holder interface {
 	Listed(id string)
@@ -92,7 +101,7 @@
 // NewNodes makes an empty table; zones are the settings' names in order.
 func NewNodes(zones []string) *Nodes {
 	n := &Nodes{zones: map[string]int{}, byID: map[string]uint32{}, address: map[uint32]string{},
-		listed: map[string]bool{}, entries: map[string]balance.Entry{}}
+		listed: map[string]float64{}, entries: map[string]balance.Entry{}, ended: map[string]ending{}}
 	for i, z := range zones {
 		n.zones[z] = i
 	}
@@ -116,8 +125,8 @@
 
 // Number is the number of a member that is listed.
 func (n *Nodes) Number(id string) (uint32, bool) {
-	x, ok := n.byID[id]
-	return x, ok && n.listed[id]
+	_, ok := n.listed[id]
+	return n.byID[id], ok
 }
 
 // Address is where a node listens, "" if it is not known any more.
@@ -126,22 +135,67 @@
 // Size is how many members are listed as serving or draining.
 func (n *Nodes) Size() int { return len(n.listed) }
 
+// recall is the state in which a member is listed. What was told of a drain or an end holds until the member
+// has started anew, or a list of a higher version says otherwise: a service that answers from an older list,
+// or has started anew and counts from elsewhere, does not bring a member back.
+func (n *Nodes) recall(m Member, revision uint64) balance.State {
+	state := phases[m.Phase]
+	was, ended := n.ended[m.ID]
+	switch {
+	case state != balance.Ready:
+		n.end(m.ID, ending{m.UpSinceMS, max(revision, was.revision)})
+	case ended && m.UpSinceMS <= was.started && revision <= was.revision:
+		return balance.Draining
+	case ended:
+		delete(n.ended, m.ID)
+	}
+	return state
+}
+
+// end keeps that a member was told to drain or to be gone. Beyond a bound the one told first is forgotten.
+func (n *Nodes) end(id string, e ending) {
+	if n.ended[id] = e; len(n.ended) <= mostEnded {
+		return
+	}
+	oldest := id
+	for x, o := range n.ended {
+		if was := n.ended[oldest]; o.revision < was.revision || o.revision == was.revision && x < oldest {
+			oldest = x
+		}
+	}
+	delete(n.ended, oldest)
+}
+
+// absent notes the members that a whole list has no more.
+func (n *Nodes) absent(l List) {
+	has := make(map[string]bool, len(l.Members))
+	for _, m := range l.Members {
+		has[m.ID] = true
+	}
+	for id, started := range n.listed {
+		if !has[id] {
+			n.end(id, ending{started, l.Revision})
+		}
+	}
+}
+
 // Apply takes a list and gives the module's form of it. shift turns a wall clock reading into the loop's.
 func (n *Nodes) Apply(l List, shift float64) []balance.Entry {
 	if l.Complete {
+		n.absent(l)
 		clear(n.listed)
 	}
 	es := make([]balance.Entry, 0, len(l.Members))
 	for _, m := range l.Members {
 		e := balance.Entry{Replica: n.number(m.ID), Cell: m.Cell, Zone: n.zones[m.Locality],
-			State: phases[m.Phase]}
+			State: n.recall(m, l.Revision)}
 		if m.UpSinceMS > 0 {
 			e.ReadyAt = max(m.UpSinceMS+shift, 1)
 		}
 		if e.State == balance.Gone {
 			delete(n.listed, m.ID)
 		} else {
-			n.listed[m.ID] = true
+			n.listed[m.ID] = m.UpSinceMS
 			n.address[e.Replica] = m.Address
 			n.entries[m.ID] = e
 			if n.hold != nil {
@@ -150,10 +204,10 @@
 		}
 		es = append(es, n.held(m.ID, e))
 	}
-	// Members that are gone are forgotten, as new ones come under new ids all day. One that comes back has its
-	// old number again, unless two ids clash.
+	// Numbers of members that are gone are forgotten, as new ones come under new ids all day. One that comes
+	// back has its old number again, unless two ids clash.
 	for id, x := range n.byID {
-		if !n.listed[id] {
+		if _, ok := n.listed[id]; !ok {
 			delete(n.byID, id)
 			delete(n.address, x)
 			delete(n.entries, id)
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -34,6 +34,7 @@
 	nodes   *Nodes
 	reader  *membership.Reader
 	address string
+	room    func() bool
 	s       *loop.Stream
 	up      bool
 	calling bool // a watch is on, or a call is out
@@ -44,10 +45,11 @@
 	silent  bool        // calls come to nothing: that is logged once, and its end
 }
 
-// NewWatcher makes a watcher that asks nothing until Watch, or Start where the list is pushed.
-func NewWatcher(l *loop.Loop, c Core, log *logs.Log, nodes *Nodes, reader *membership.Reader,
-	address string) *Watcher {
-	w := &Watcher{loop: l, core: c, log: log, nodes: nodes, reader: reader, address: address}
+// NewWatcher makes a watcher that asks nothing until Watch, or Start where the list is pushed. room closes
+// what can be spared where the process has no descriptor left for a call.
+func NewWatcher(l *loop.Loop, c Core, log *logs.Log, nodes *Nodes, reader *membership.Reader, address string,
+	room func() bool) *Watcher {
+	w := &Watcher{loop: l, core: c, log: log, nodes: nodes, reader: reader, address: address, room: room}
 	w.timer = l.NewTimer(func() { w.fail(logs.DiscoveryTimeout, errors.New("no answer in time")) })
 	w.again = l.NewTimer(func() {
 		if w.calling && !w.out {
@@ -104,7 +106,7 @@
 	w.out = true
 	w.again.Stop()
 	if w.s == nil {
-		fd, err := loop.Connect(w.address)
+		fd, err := loop.ConnectWith(w.address, w.room)
 		if err == nil {
 			w.s, err = loop.NewStream(w.loop, fd, unix.EPOLLIN|unix.EPOLLOUT|unix.EPOLLRDHUP, w)
 		}
--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -4,10 +4,15 @@
 package loopback
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 var given atomic.Int64
@@ -26,3 +31,37 @@
 	}
 	return ln.Addr().String(), ln.Close()
 }
+
+// Full is a listener whose queue is full: a connection to it comes up once drain has been called, by the kernel's
+// next try, 1 s after the first.
+func Full() (ln net.Listener, drain func(), err error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	if err != nil {
+		return nil, nil, fmt.Errorf("socket: %w", err)
+	}
+	f := os.NewFile(uintptr(fd), "full")
+	defer f.Close()
+	at := unix.SockaddrInet4{Addr: netip.MustParseAddrPort(Own()).Addr().As4()}
+	if err = errors.Join(unix.Bind(fd, &at), unix.Listen(fd, 0)); err != nil {
+		return nil, nil, fmt.Errorf("listen: %w", err)
+	}
+	if ln, err = net.FileListener(f); err != nil {
+		return nil, nil, fmt.Errorf("listener: %w", err)
+	}
+	held := 0
+	for { // those that the queue takes
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+		held++
+	}
+	return ln, func() {
+		for range held {
+			if c, err := ln.Accept(); err == nil {
+				_ = c.Close()
+			}
+		}
+	}, nil
+}
--- a/internal/leafs/pool.go
+++ b/internal/leafs/pool.go
@@ -1,7 +1,6 @@
 package leafs
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -22,6 +21,8 @@
 	KeepAlive   float64 // ms after which a leaf closes an idle connection
 	Sockets     int     // connections to all leafs together
 	Slices      bool    // slices move: a leaf may say that it does not hold one
+
+	Room func() bool // closes what can be spared where the process has no descriptor left; nil for nothing
 }
 
 const (
@@ -329,10 +330,7 @@
 	if p.conns >= p.o.Sockets && !p.makeRoom() || l.addr == "" {
 		return nil
 	}
-	fd, err := loop.Connect(l.addr)
-	if errors.Is(err, unix.EMFILE) && p.makeRoom() {
-		fd, err = loop.Connect(l.addr)
-	}
+	fd, err := loop.ConnectWith(l.addr, func() bool { return p.o.Room != nil && p.o.Room() || p.makeRoom() })
 	now := p.loop.Now()
 	c := &conn{pool: p, leaf: l, byID: map[string]*out{}, given: map[string]bool{}, opened: now,
 		dialBy: now + p.o.DialTimeout, heard: now, idleAt: math.Inf(1), cutAt: math.Inf(1)}
--- a/internal/loop/socket.go
+++ b/internal/loop/socket.go
@@ -1,6 +1,7 @@
 package loop
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 
@@ -49,6 +50,16 @@
 	return fd, nil
 }
 
+// ConnectWith is Connect for a process that may be out of descriptors: then room is asked for one, and the
+// connection is tried once more.
+func ConnectWith(address string, room func() bool) (int, error) {
+	fd, err := Connect(address)
+	if (errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE)) && room != nil && room() {
+		return Connect(address)
+	}
+	return fd, err
+}
+
 // Accept takes one connection; the error is EAGAIN when there is none.
 func Accept(listener int) (int, error) {
 	fd, _, err := unix.Accept4(listener, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
--- a/test/crossings_test.go
+++ b/test/crossings_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,7 +18,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"ternstage/internal/lab/loopback"
 )
@@ -197,58 +197,26 @@
 	}
 }
 
-// full is a listener whose queue is full: a connection to it comes up, by the kernel's next try after 1 s, once drain has
-// been called.
-func full(t *testing.T) (address string, drain func() net.Listener) {
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
-	require.NoError(t, err)
-	host, _, _ := net.SplitHostPort(loopback.Own())
-	var at unix.SockaddrInet4
-	copy(at.Addr[:], net.ParseIP(host).To4())
-	require.NoError(t, unix.Bind(fd, &at))
-	require.NoError(t, unix.Listen(fd, 0))
-	f := os.NewFile(uintptr(fd), "full")
-	ln, err := net.FileListener(f)
-	require.NoError(t, err)
-	_ = f.Close()
-	t.Cleanup(func() { _ = ln.Close() })
-	var held []net.Conn
-	for { // those that the queue takes
-		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
-		if err != nil {
-			break
-		}
-		held = append(held, c)
-	}
-	return ln.Addr().String(), func() net.Listener {
-		for range held {
-			c, err := ln.Accept()
-			require.NoError(t, err)
-			_ = c.Close()
-		}
-		return ln
-	}
-}
-
 // TestLateConnection: a connection to the only node comes up after 1 s, when the part that waited for it has been given
 // up as its time to begin was over, or its client has gone. Nothing of that part begins on it; it is used for the next.
 func TestLateConnection(t *testing.T) {
 	for _, gone := range []bool{false, true} {
-		address, drain := full(t)
+		ln, drain, err := loopback.Full()
+		require.NoError(t, err)
 		s := settings()
 		s["limits"].(map[string]any)["dial_timeout_ms"] = 3000
 		ns := startNodes(t, wires[0], nil, 1, 2, 3)
-		ns.members[1].Address = address
+		ns.members[1].Address = ln.Addr().String()
 		p := start(t, options{settings: s, members: ns.members[1:2]})
 		c := open(t, p, "early", "quote", 1)
 		if gone {
-			require.Eventually(t, func() bool { return sockets(t, p.Process.Pid) >= 8 }, patience, time.Millisecond)
+			require.Eventually(t, func() bool { return taken(t, p) == 1 }, patience, time.Millisecond)
 			_ = c.Close()
 			p.waitLog(fmt.Sprintf(`"code":"C03","peer":"%s"`, c.LocalAddr()))
 		} else {
 			answeredWhole(t, c, 503, false)
 		}
-		ln := drain()
+		drain()
 		t.Cleanup(frameNode(ns, "s-1", ln))
 		require.Eventually(t, func() bool {
 			return askHTTP(context.Background(), p, query{id: fmt.Sprint("late", time.Now().UnixNano()), class: "quote",
@@ -258,11 +226,16 @@
 	}
 }
 
-// sockets is how many descriptors a process has open.
-func sockets(t *testing.T, pid int) int {
+// sockets is how many descriptors below a number a process has open.
+func sockets(t *testing.T, pid, below int) (n int) {
 	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
 	require.NoError(t, err)
-	return len(files)
+	for _, f := range files {
+		if x, err := strconv.Atoi(f.Name()); err == nil && x < below {
+			n++
+		}
+	}
+	return n
 }
 
 // TestDedupKey: the key by which nodes drop a client's repeats goes to them with each part; one that would break the
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -215,18 +215,27 @@
 
 // launchWith starts the program with a listener as descriptor 5, where one is given.
 func launchWith(t *testing.T, config []byte, inherit *os.File, env ...string) *program {
-	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, config, 0o600))
-	p := &program{Cmd: exec.Command(built), t: t, config: path, done: make(chan error, 1)}
-	if inherit != nil {
+	return launchBy(t, config, func(c *exec.Cmd) {
+		c.Env = append(c.Env, env...)
+		if inherit == nil {
+			return
+		}
 		null, err := os.Open(os.DevNull)
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = null.Close() })
-		p.ExtraFiles = []*os.File{null, null, inherit} // descriptors 3, 4 and 5
-		env = append(env, "BALANCER_INHERITED_FD=5")
-	}
+		c.ExtraFiles = []*os.File{null, null, inherit} // descriptors 3, 4 and 5
+		c.Env = append(c.Env, "BALANCER_INHERITED_FD=5")
+	})
+}
+
+// launchBy starts the program by a command that the test has had its say on.
+func launchBy(t *testing.T, config []byte, say func(*exec.Cmd)) *program {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, config, 0o600))
+	p := &program{Cmd: exec.Command(built), t: t, config: path, done: make(chan error, 1)}
 	// The race detector would sleep for a second at the end.
-	p.Env = append(append(os.Environ(), "GORACE=atexit_sleep_ms=0", "BALANCER_CONFIG="+path), env...)
+	p.Env = append(os.Environ(), "GORACE=atexit_sleep_ms=0", "BALANCER_CONFIG="+path)
+	say(p.Cmd)
 	p.Stderr = p
 	require.NoError(t, p.Start())
 	go func() { p.done <- p.Wait() }()
