--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -32,8 +32,8 @@
 	return ln.Addr().String(), ln.Close()
 }
 
-// Full is a listener whose queue is full: a connection to it comes up once drain has been called, by the kernel's
-// next try, 1 s after the first.
+// Full is a listener whose queue is full: a connection to it comes up once drain has been called, by the
+// kernel's next try, 1 s after the first.
 func Full() (ln net.Listener, drain func(), err error) {
 	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
 	if err != nil {
