--- a/internal/leafs/pool_test.go
+++ b/internal/leafs/pool_test.go
@@ -36,6 +36,7 @@
 	l, err := loop.New()
 	require.NoError(t, err)
 	o := &outcomes{loop: l}
+	l.NewTimer(l.Stop).Set(l.Clock() + 4000) // should nothing become of them at all
 	p := NewPool(l, o, logs.New(os.Stderr, "test"), Options{Streams: 8, DialTimeout: 5000, KeepAlive: 30000, Sockets: 8},
 		func(uint32) string { return address })
 	return p, o
