Rename: internal/leafs is internal/backends, internal/door is internal/adminapi

Wire, settings, log codes and pages keep their words. Names and comments alone: no statement changes. upkeep, told, held and turns keep theirs for now.

--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -12,14 +12,14 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
+	"ternstage/internal/adminapi"
+	"ternstage/internal/backends"
 	"ternstage/internal/catalog"
 	"ternstage/internal/clients"
 	"ternstage/internal/config"
 	"ternstage/internal/core"
 	"ternstage/internal/discovery"
-	"ternstage/internal/door"
 	"ternstage/internal/flight"
-	"ternstage/internal/leafs"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
 	"ternstage/internal/membership"
@@ -89,7 +89,7 @@
 	}
 	files := descriptors(cfg.Sockets, log) - spareFiles
 	if cfg.Mgmt != "" {
-		files -= door.MaxConns + 1 // the operators' door and its callers
+		files -= adminapi.MaxConns + 1 // the admin API and its callers
 	}
 	clientFiles := files - files/leafShare
 	if fc.Enabled {
@@ -109,7 +109,7 @@
 		back = flight.NewNodes(l, c, log, flight.NodeOptions{Streams: cfg.Streams, DialTimeout: cfg.DialTimeout,
 			KeepAlive: cfg.KeepAlive, Sockets: files / leafShare}, nodes.Address)
 	} else {
-		back = leafs.NewPool(l, c, log, leafs.Options{PerCall: cfg.Module.PerCall, Streams: cfg.Streams,
+		back = backends.NewPool(l, c, log, backends.Options{PerCall: cfg.Module.PerCall, Streams: cfg.Streams,
 			DialTimeout: cfg.DialTimeout, KeepAlive: cfg.KeepAlive, Sockets: files / leafShare, Slices: m != nil,
 			Room: server.MakeRoom}, nodes.Address)
 	}
@@ -127,7 +127,7 @@
 				Started: float64(started.UnixMicro()) / 1000, Core: c,
 				Known: func(x uint32) bool { return nodes.Address(x) != "" }})
 		}
-		d, err := door.Listen(l, ops, log, cfg.Mgmt)
+		d, err := adminapi.Listen(l, ops, log, cfg.Mgmt)
 		if err != nil {
 			return err
 		}
@@ -214,7 +214,7 @@
 	core    *core.Core
 	server  *clients.Server
 	front   *flight.Front  // nil where Flight is off
-	ops     *upkeep.Upkeep // nil where the operators have no door
+	ops     *upkeep.Upkeep // nil where there is no admin API
 	timer   *loop.Timer
 	longest float64 // ms: the longest deadline, as it puts SIGKILL off
 	// ms after SIGTERM in which connections are still accepted
--- a/internal/door/door.go
+++ b/internal/adminapi/adminapi.go
@@ -1,8 +1,8 @@
-// Package door is the operators' door: a second listener on the loop, HTTP/1.1 with one call per
+// Package adminapi is the operators' admin API: a second listener on the loop, HTTP/1.1 with one call per
 // connection, whose answers say yes (2xx) or no (4xx, 5xx). What a call changes is decided elsewhere
-// (Calls); the door reads calls within bounds, answers each within a second whatever the caller does, and
+// (Calls); the API reads calls within bounds, answers each within a second whatever the caller does, and
 // closes.
-package door
+package adminapi
 
 import (
 	"bytes"
@@ -30,7 +30,7 @@
 	Activate() maint.Verdict
 }
 
-// Bounds of the door.
+// Bounds of the API.
 const (
 	MaxConns = 64      // connections at once; at the bound the oldest that has not called is answered no
 	MaxHead  = 4 << 10 // bytes of a call's head
@@ -49,8 +49,8 @@
 	errCall    = errors.New("malformed call")
 )
 
-// Door listens for operators.
-type Door struct {
+// Server listens for operators.
+type Server struct {
 	loop    *loop.Loop
 	calls   Calls
 	log     *logs.Log
@@ -61,13 +61,13 @@
 	resting bool // the listener is not watched, for want of descriptors
 }
 
-// Listen opens the door on an address.
-func Listen(l *loop.Loop, calls Calls, log *logs.Log, address string) (*Door, error) {
+// Listen listens for operators on an address.
+func Listen(l *loop.Loop, calls Calls, log *logs.Log, address string) (*Server, error) {
 	fd, err := loop.Listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("mgmt: %w", err)
 	}
-	d := &Door{loop: l, calls: calls, log: log, fd: fd, conns: map[*conn]struct{}{}, address: address}
+	d := &Server{loop: l, calls: calls, log: log, fd: fd, conns: map[*conn]struct{}{}, address: address}
 	d.timer = l.NewTimer(d.tend)
 	if err := l.Add(fd, unix.EPOLLIN, d); err != nil {
 		_ = unix.Close(fd)
@@ -77,7 +77,7 @@
 }
 
 // Ready implements loop.Handler: callers wait to be taken.
-func (d *Door) Ready(uint32) {
+func (d *Server) Ready(uint32) {
 	for range MaxConns {
 		fd, err := loop.Accept(d.fd)
 		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
@@ -94,7 +94,7 @@
 		if len(d.conns) >= MaxConns {
 			d.makeRoom()
 		}
-		c := &conn{door: d, since: d.loop.Now(), peer: peerOf(fd)}
+		c := &conn{server: d, since: d.loop.Now(), peer: peerOf(fd)}
 		s, err := loop.NewStream(d.loop, fd, unix.EPOLLIN|unix.EPOLLRDHUP, c)
 		if err != nil {
 			continue
@@ -106,7 +106,7 @@
 }
 
 // makeRoom closes a connection that has had its answer, or else answers no to the one that came first.
-func (d *Door) makeRoom() {
+func (d *Server) makeRoom() {
 	var o *conn
 	for c := range d.conns {
 		if c.answered {
@@ -122,7 +122,7 @@
 }
 
 // tend answers calls that take too long and closes what lingers.
-func (d *Door) tend() {
+func (d *Server) tend() {
 	now := d.loop.Now()
 	if d.resting && d.fd >= 0 {
 		d.resting = false
@@ -141,8 +141,8 @@
 	}
 }
 
-// Close closes the door and every connection at it.
-func (d *Door) Close() {
+// Close closes the API and every connection at it.
+func (d *Server) Close() {
 	for c := range d.conns {
 		c.close(logs.Shutdown, nil)
 	}
@@ -153,7 +153,7 @@
 }
 
 // route answers a call that has come whole.
-func (d *Door) route(method, path string) maint.Verdict {
+func (d *Server) route(method, path string) maint.Verdict {
 	const leafs = "/v1/leafs/"
 	put := func(do func() maint.Verdict) maint.Verdict {
 		if method != "PUT" {
@@ -188,7 +188,7 @@
 
 // conn is one caller.
 type conn struct {
-	door       *Door
+	server     *Server
 	s          *loop.Stream
 	since      float64
 	answered   bool
@@ -216,7 +216,7 @@
 	case err != nil:
 		c.fail(statusOf(err), err, logs.OperatorMalformed)
 	case size > 0 && len(c.s.In) >= size:
-		c.answer(method, path, c.door.route(method, path))
+		c.answer(method, path, c.server.route(method, path))
 	case eof:
 		c.close(logs.OperatorGone, nil)
 	}
@@ -225,7 +225,7 @@
 // answer writes the verdict and ends our side.
 // The call is the connection's one line in the log, in place of the line of its end.
 func (c *conn) answer(method, path string, v maint.Verdict) {
-	c.door.log.Info("operator call", zap.String("code", string(logs.OperatorDone)), zap.String("peer", c.peer),
+	c.server.log.Info("operator call", zap.String("code", string(logs.OperatorDone)), zap.String("peer", c.peer),
 		zap.String("method", method), zap.String("path", path), zap.Int("status", v.Status),
 		zap.String("reason", v.Reason), zap.Bool("changed", v.Changed))
 	c.logged = true
@@ -242,7 +242,7 @@
 	body := fmt.Sprintf("{\"ok\":%t,\"reason\":%s}\n", status >= 200 && status < 300, strconv.Quote(reason))
 	c.s.Out = fmt.Appendf(c.s.Out[:0], "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"+
 		"Content-Length: %d\r\nConnection: close\r\n\r\n%s", status, statusText(status), len(body), body)
-	c.answered, c.answeredAt, c.s.In = true, c.door.loop.Now(), nil
+	c.answered, c.answeredAt, c.s.In = true, c.server.loop.Now(), nil
 	if err := c.s.Flush(); err != nil || len(c.s.Out) > 0 {
 		// An answer of a few hundred bytes that the kernel does not take at once goes to a caller that
 		// does not read: it is not waited for.
@@ -267,13 +267,13 @@
 		return
 	}
 	c.closed = true
-	delete(c.door.conns, c)
+	delete(c.server.conns, c)
 	c.s.Close()
 	if c.code != "" {
 		code, err = c.code, c.err
 	}
 	if !c.logged || code != logs.OperatorDone {
-		c.door.log.Conn(code, c.peer, 1, err)
+		c.server.log.Conn(code, c.peer, 1, err)
 	}
 }
 
--- a/internal/leafs/conn.go
+++ b/internal/backends/conn.go
@@ -1,4 +1,4 @@
-package leafs
+package backends
 
 import (
 	"fmt"
@@ -13,10 +13,10 @@
 	"ternstage/internal/loop"
 )
 
-// conn is a connection to a leaf.
+// conn is a connection to a backend.
 type conn struct {
 	pool    *Pool
-	leaf    *leaf
+	node    *node
 	s       *loop.Stream
 	up      bool
 	closed  bool
@@ -103,7 +103,7 @@
 	return true
 }
 
-// frame takes one frame of the leaf. Where it cannot be used it names the part that it was for, if it can.
+// frame takes one frame of the backend. Where it cannot be used it names the part that it was for, if it can.
 func (c *conn) frame(letter byte, rest []byte) (*out, error) {
 	if letter != frameAnswer {
 		// No probe is sent, so nothing but answers can be good; an E says that we were not understood.
@@ -143,7 +143,7 @@
 
 // spoilt closes a connection on which something came that cannot be used: nothing good comes on it any
 // more. The part that was answered so, or else the one that has waited longest, has failed and may have
-// run; so may the others have, of which nothing is said against the leaf.
+// run; so may the others have, of which nothing is said against the backend.
 func (c *conn) spoilt(o *out, err error) {
 	for i := 0; o == nil && i < len(c.calls); i++ {
 		for _, x := range c.calls[i].parts {
@@ -265,9 +265,9 @@
 	}
 }
 
-// alone tells that only this connection broke and the leaf stands: another to it does, or it broke as soon
+// alone tells that only this connection broke and the backend stands: another to it does, or it broke as soon
 // as it was used again, where the end of a process would have shown while it was idle. The latter also
-// tells for how long connections may be idle. Guards leafs against being held for lost, and for cold once
+// tells for how long connections may be idle. Guards backends against being held for lost, and for cold once
 // they serve again.
 func (c *conn) alone(code logs.Code) bool {
 	if code != logs.LeafReset && code != logs.LeafEnded && code != logs.LeafRefused {
@@ -280,7 +280,7 @@
 			return true
 		}
 	}
-	return slices.ContainsFunc(c.leaf.conns, func(x *conn) bool { return x != c && x.up && x.s.Stands() })
+	return slices.ContainsFunc(c.node.conns, func(x *conn) bool { return x != c && x.up && x.s.Stands() })
 }
 
 // close ends the connection and every part out on it: one whose frame was not wholly written never ran, any
@@ -297,8 +297,8 @@
 	if code == logs.LeafBadFrame || code == logs.LeafQuiet {
 		broken = balance.Cancelled // it is we who end it
 	}
-	c.leaf.conns = slices.DeleteFunc(c.leaf.conns, func(x *conn) bool { return x == c })
-	c.pool.log.Conn(code, c.leaf.addr, c.served, err)
+	c.node.conns = slices.DeleteFunc(c.node.conns, func(x *conn) bool { return x == c })
+	c.pool.log.Conn(code, c.node.addr, c.served, err)
 	for _, k := range c.calls {
 		outcome := balance.ConnectFailed
 		if k.end > 0 && k.end <= c.s.Wrote {
--- a/internal/leafs/frame.go
+++ b/internal/backends/frame.go
@@ -1,6 +1,6 @@
-// Package leafs speaks frames to leafs: a pool of connections for each, calls that share a connection, and
+// Package backends speaks frames to nodes: a pool of connections for each, calls that share a connection, and
 // what is proved of a part when a connection breaks.
-package leafs
+package backends
 
 import (
 	"bytes"
@@ -90,7 +90,7 @@
 	endOK   = "ok"
 	endErr  = "err"
 	endBusy = "busy"
-	endGone = "moved" // where slices move: the leaf does not hold the districts; its epoch stands for the score
+	endGone = "moved" // where slices move: it does not hold the districts; its epoch stands for the score
 )
 
 // answer is an A frame.
--- a/internal/leafs/pool.go
+++ b/internal/backends/pool.go
@@ -1,4 +1,4 @@
-package leafs
+package backends
 
 import (
 	"fmt"
@@ -18,20 +18,20 @@
 	PerCall     int     // parts in one call
 	Streams     int     // calls out on one connection
 	DialTimeout float64 // ms
-	KeepAlive   float64 // ms after which a leaf closes an idle connection
-	Sockets     int     // connections to all leafs together
-	Slices      bool    // slices move: a leaf may say that it does not hold one
+	KeepAlive   float64 // ms after which a backend closes an idle connection
+	Sockets     int     // connections to all backends together
+	Slices      bool    // slices move: a backend may say that it does not hold one
 
 	Room func() bool // closes what can be spared where the process has no descriptor left; nil for nothing
 }
 
 const (
-	idleShare = 0.9    // of the leaf's idle time, after which we close: a close that crosses a part resets it
-	idleSpare = 1500.0 // ms: at least so long before the leaf does
+	idleShare = 0.9    // of the backend's idle time, after which we close: a close that crosses a part resets it
+	idleSpare = 1500.0 // ms: at least so long before the backend does
 	maxRead   = 2 * maxFrame
 
 	wholeMost = 300.0 // ms from a frame's first byte to its last
-	spread    = 4     // connections to a leaf on which nothing else is out, before calls share one
+	spread    = 4     // connections to a backend on which nothing else is out, before calls share one
 	givenMost = 64    // parts given up on a connection that may still be answered
 	atOnce    = 5.0   // ms after which a connection that breaks did so under the part, not before it
 	freshFor  = 250.0 // ms since a connection was last used, within which it may carry a part that must not
@@ -44,15 +44,15 @@
 	Later(a *core.Attempt, o balance.Outcome)
 }
 
-// Pool holds the connections to all leafs. It implements core.Backend.
+// Pool holds the connections to all backends. It implements core.Backend.
 type Pool struct {
 	loop    *loop.Loop
 	core    Core
 	log     *logs.Log
 	o       Options
 	address func(node uint32) string
-	leafs   map[uint32]*leaf
-	dirty   []*leaf // sent to in this turn
+	nodes   map[uint32]*node
+	dirty   []*node // sent to in this turn
 	conns   int
 	risk    idleRisk
 	timer   *loop.Timer
@@ -61,16 +61,16 @@
 // NewPool makes a pool; address looks a node's address up.
 func NewPool(l *loop.Loop, c Core, log *logs.Log, o Options, address func(uint32) string) *Pool {
 	o.PerCall, o.Streams, o.Sockets = max(o.PerCall, 1), max(o.Streams, 1), max(o.Sockets, 1)
-	p := &Pool{loop: l, core: c, log: log, o: o, address: address, leafs: map[uint32]*leaf{}}
+	p := &Pool{loop: l, core: c, log: log, o: o, address: address, nodes: map[uint32]*node{}}
 	p.timer = l.NewTimer(p.tend)
 	return p
 }
 
-type leaf struct {
-	node  uint32
-	addr  string
-	conns []*conn
-	turn  []*core.Attempt // sent in this turn, not yet in calls
+type node struct {
+	number uint32
+	addr   string
+	conns  []*conn
+	turn   []*core.Attempt // sent in this turn, not yet in calls
 }
 
 // call is one Q frame.
@@ -93,10 +93,10 @@
 
 // Send implements core.Backend.
 func (p *Pool) Send(a *core.Attempt) {
-	l := p.leafs[a.Node]
+	l := p.nodes[a.Node]
 	if l == nil {
-		l = &leaf{node: a.Node}
-		p.leafs[a.Node] = l
+		l = &node{number: a.Node}
+		p.nodes[a.Node] = l
 	}
 	if len(l.turn) == 0 {
 		p.dirty = append(p.dirty, l)
@@ -111,7 +111,7 @@
 	for _, l := range dirty {
 		turn := l.turn
 		l.turn = nil
-		if addr := p.address(l.node); addr != l.addr {
+		if addr := p.address(l.number); addr != l.addr {
 			// A new address: connections to the old one take nothing new.
 			for _, c := range l.conns {
 				c.retire(logs.LeafMoved)
@@ -129,7 +129,7 @@
 }
 
 // place gives a call to a connection.
-func (p *Pool) place(l *leaf, parts []*core.Attempt) {
+func (p *Pool) place(l *node, parts []*core.Attempt) {
 	k := &call{sent: p.loop.Now()}
 	for _, a := range parts {
 		o := &out{a: a, id: partID(a), call: k}
@@ -159,9 +159,9 @@
 // breaks off takes all with it that is out beside it. Of idle ones it takes the one used last, so that
 // others can go. once tells that the call must not be lost with a connection that has gone dead while
 // nobody looked.
-func (p *Pool) choose(l *leaf, once bool) *conn {
+func (p *Pool) choose(l *node, once bool) *conn {
 	var best *conn
-	now, most := p.loop.Now(), max(1, min(spread, p.o.Sockets/max(len(p.leafs), 1)))
+	now, most := p.loop.Now(), max(1, min(spread, p.o.Sockets/max(len(p.nodes), 1)))
 	for _, c := range l.conns {
 		unused := 0.0
 		if c.up && len(c.calls) == 0 {
@@ -189,7 +189,7 @@
 
 // Withdraw implements core.Backend.
 func (p *Pool) Withdraw(a *core.Attempt) bool {
-	if l := p.leafs[a.Node]; l != nil {
+	if l := p.nodes[a.Node]; l != nil {
 		if i := slices.Index(l.turn, a); i >= 0 {
 			l.turn = slices.Delete(l.turn, i, i+1)
 			return true
@@ -217,7 +217,7 @@
 	o.over = true
 	if c.given[o.id] = true; c.heard < k.sent {
 		// Nothing has come since the part went out: the connection may have gone dead unseen. A new one tells
-		// whether the leaf can be reached.
+		// whether the backend can be reached.
 		c.retire(logs.LeafQuiet)
 	}
 	if len(c.given) > givenMost {
@@ -233,7 +233,7 @@
 
 // DropIdle implements core.Backend.
 func (p *Pool) DropIdle(node uint32) {
-	if l := p.leafs[node]; l != nil {
+	if l := p.nodes[node]; l != nil {
 		for _, c := range slices.Clone(l.conns) {
 			if len(c.calls) == 0 {
 				c.close(logs.LeafIdle, nil)
@@ -247,17 +247,17 @@
 
 // Close closes what is open, at the end of the program.
 func (p *Pool) Close() {
-	for _, l := range p.leafs {
+	for _, l := range p.nodes {
 		for _, c := range slices.Clone(l.conns) {
 			c.close(logs.Shutdown, nil)
 		}
 	}
 }
 
-// makeRoom closes the connection that has stood idle longest, so that another leaf can be reached.
+// makeRoom closes the connection that has stood idle longest, so that another backend can be reached.
 func (p *Pool) makeRoom() bool {
 	var idle *conn
-	for _, l := range p.leafs {
+	for _, l := range p.nodes {
 		for _, c := range l.conns {
 			if len(c.calls) == 0 && c.up && (idle == nil || c.idleAt < idle.idleAt) {
 				idle = c
@@ -274,7 +274,7 @@
 // tend closes what is idle, gives up dials that take too long and parts that wait unwritten.
 func (p *Pool) tend() {
 	now := p.loop.Now()
-	for _, l := range p.leafs {
+	for _, l := range p.nodes {
 		for _, c := range slices.Clone(l.conns) {
 			switch {
 			case !c.up && now >= c.dialBy:
@@ -289,8 +289,8 @@
 				c.stuck(now)
 			}
 		}
-		if len(l.conns) == 0 && len(l.turn) == 0 && p.address(l.node) == "" {
-			delete(p.leafs, l.node)
+		if len(l.conns) == 0 && len(l.turn) == 0 && p.address(l.number) == "" {
+			delete(p.nodes, l.number)
 		}
 	}
 	p.plan()
@@ -299,7 +299,7 @@
 // plan sets the pool's one timer.
 func (p *Pool) plan() {
 	next := math.Inf(1)
-	for _, l := range p.leafs {
+	for _, l := range p.nodes {
 		for _, c := range l.conns {
 			if !c.up {
 				next = min(next, c.dialBy)
@@ -326,13 +326,13 @@
 }
 
 // dial opens a connection; nil if there can be none.
-func (p *Pool) dial(l *leaf) *conn {
+func (p *Pool) dial(l *node) *conn {
 	if p.conns >= p.o.Sockets && !p.makeRoom() || l.addr == "" {
 		return nil
 	}
 	fd, err := loop.ConnectWith(l.addr, func() bool { return p.o.Room != nil && p.o.Room() || p.makeRoom() })
 	now := p.loop.Now()
-	c := &conn{pool: p, leaf: l, byID: map[string]*out{}, given: map[string]bool{}, opened: now,
+	c := &conn{pool: p, node: l, byID: map[string]*out{}, given: map[string]bool{}, opened: now,
 		dialBy: now + p.o.DialTimeout, heard: now, idleAt: math.Inf(1), cutAt: math.Inf(1)}
 	if err == nil {
 		c.s, err = loop.NewStream(p.loop, fd, unix.EPOLLIN|unix.EPOLLOUT|unix.EPOLLRDHUP, c)
--- a/internal/leafs/pool_test.go
+++ b/internal/backends/pool_test.go
@@ -1,4 +1,4 @@
-package leafs
+package backends
 
 import (
 	"io"
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,7 +21,7 @@
 	Name      string
 	Listen    string
 	Discovery string
-	Mgmt      string // the operators' door, "" for none
+	Mgmt      string // the admin API, "" for none
 	Inherited int    // the clients' listener that the process was given, -1 for none
 	Seed      uint64
 	Cores     float64
--- a/internal/upkeep/upkeep.go
+++ b/internal/upkeep/upkeep.go
@@ -1,6 +1,6 @@
 // Package upkeep carries out the operators' calls on the loop: it asks maint what a call changes, keeps the
 // held leafs in a file that every process of the aggregator shares, has the module hear of what is held
-// as it hears of the list, and has the front send clients away. It implements door.Calls.
+// as it hears of the list, and has the front send clients away. It implements adminapi.Calls.
 package upkeep
 
 import (
@@ -154,13 +154,13 @@
 	}
 }
 
-// Ready implements door.Calls.
+// Ready implements adminapi.Calls.
 func (u *Upkeep) Ready() bool { return !u.stopping && u.front.Healthy() }
 
-// Suspend implements door.Calls.
+// Suspend implements adminapi.Calls.
 func (u *Upkeep) Suspend(id string) maint.Verdict { return u.change(id, u.bans.Suspend) }
 
-// Resume implements door.Calls.
+// Resume implements adminapi.Calls.
 func (u *Upkeep) Resume(id string) maint.Verdict { return u.change(id, u.bans.Resume) }
 
 func (u *Upkeep) change(id string, do func(string) maint.Verdict) maint.Verdict {
@@ -179,14 +179,14 @@
 	return v
 }
 
-// Drain implements door.Calls.
+// Drain implements adminapi.Calls.
 func (u *Upkeep) Drain() maint.Verdict {
 	v := u.drain.Drain(u.loop.Now())
 	u.follow()
 	return v
 }
 
-// Activate implements door.Calls.
+// Activate implements adminapi.Calls.
 func (u *Upkeep) Activate() maint.Verdict {
 	v := u.drain.Activate()
 	u.follow()
