--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,6 +92,7 @@
 	coldMost    = 2.0   // ms of work in a ms: as much as one co-ordinator may believe a warm replica does
 	coldUnit    = 100.0 // ms of work a part is taken for while nothing has been seen
 	watchMost   = 1500  // ms: longest delay of few after a failed call for the list, the first is a third of it
+	watchGrow   = 6.0   // x: by how much a longer one, of many, grows; from watchMost by a fifth at first
 	askEach     = 60.0  // ms: what a call is taken to cost the list service; many peers space theirs out
 	weightSlack = 5e-5  // weights: rounding allowed by half of what the rule allows
 )
@@ -129,14 +130,14 @@
 	b.born = cmp.Or(b.born, now)
 	if kind == ListFailed {
 		// A growing, spread delay guards the service from a crowd; it is short among tens, as news is told in 6 s.
-		crowd := b.crowd() * float64(min(len(b.order), 1)) // without a list nothing can be served
-		b.watchWait = min(max(3*b.watchWait, watchMost/3, min(crowd, 2*watchMost)),
-			max(watchMost, 2*crowd-watchMost), max(b.s.AskWithin/3, min(2*crowd, 2*b.s.AskWithin), b.s.Tick))
+		crowd, w := b.crowd()*float64(min(len(b.order), 1)), b.watchWait // without a list nothing can be served
+		b.watchWait = min(max(watchGrow*w-(watchGrow-1.2)*watchMost, min(max(2*w, crowd), watchMost), watchMost/3),
+			max(watchMost, 2*crowd-watchMost), max(b.s.AskWithin/3, 2*min(crowd, b.s.AskWithin), b.s.Tick))
 		b.watchAt = now + b.watchWait*(0.5+0.5*b.random())
 		return
 	}
 	if b.watchWait, b.watchAt = 0, math.Inf(1); kind == ListCached && b.s.MustAsk {
-		if b.watchAt = now; len(entries) > 0 { // a restart begins with an old list, and may be everybody's
+		if b.watchAt = now; b.crowd() > 0 && len(entries) > 0 { // it may be an old list, and everybody's
 			b.watchAt += min(b.crowd(), b.s.AskWithin) / 2 * b.random()
 		}
 	}
@@ -496,8 +497,7 @@
 // A part that can join a call of this turn adds none. free tells that some usable replica is at its usual
 // latency, or has nothing of ours out and its turn has come (paced), so a hold cannot deadlock.
 func (b *Balancer) pick(now float64, shard int, cost float64, p, tried *part) (best *replica, free bool) {
-	var bestKey [3]float64
-	dear := b.dear()
+	dear, bestKey := b.dear(), [3]float64{}
 	for _, r := range b.holdersOf(shard) {
 		if b.opens(now, r, cost) > now {
 			continue
