--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -226,6 +226,9 @@
 // sendBy is when the first part that is not wholly written has to be, if any is.
 func (c *conn) sendBy() float64 {
 	by := math.Inf(1)
+	if len(c.waiting) == 0 && (len(c.calls) == 0 || len(c.s.Out) == 0) {
+		return by // all is written, as nearly always
+	}
 	for _, k := range c.calls {
 		if k.end > 0 && k.end <= c.s.Wrote {
 			continue
