--- a/test/crossings_test.go
+++ b/test/crossings_test.go
@@ -43,6 +43,16 @@
 	return c
 }
 
+// to does that with the parts of one query, and serves all others.
+func to(id string, d deed) func(sent, int) deed {
+	return func(s sent, _ int) deed {
+		if strings.HasPrefix(s.id, id+".") {
+			return d
+		}
+		return serve
+	}
+}
+
 // begun are the attempts of a query that reached nodes.
 func begun(ns *nodes, id string) (n int) {
 	for _, s := range ns.all() {
@@ -73,12 +83,7 @@
 // that it never ran: for a client that stays it would go to another node, for one that has gone it does not.
 func TestGoneUnsafe(t *testing.T) {
 	for _, stays := range []bool{true, false} {
-		ns, p := site(t, func(s sent, _ int) deed {
-			if strings.HasPrefix(s.id, "bind-1.") {
-				return busyOnceLet
-			}
-			return serve
-		}, options{})
+		ns, p := site(t, to("bind-1", busyOnceLet), options{})
 		c := open(t, p, "bind-1", "bind", 1)
 		waitBegun(t, ns, "bind-1", 1)
 		if !stays {
@@ -150,12 +155,7 @@
 // TestGoneBehindFlood: a client sends far more than the program holds behind its request, and goes. Its end stands behind
 // all that, and is seen all the same: the part that a node has swallowed is not moved to another.
 func TestGoneBehindFlood(t *testing.T) {
-	ns, p := site(t, func(s sent, _ int) deed {
-		if strings.HasPrefix(s.id, "flood.") {
-			return swallow
-		}
-		return serve
-	}, options{})
+	ns, p := site(t, to("flood", swallow), options{})
 	c := open(t, p, "flood", "quote", 1)
 	waitBegun(t, ns, "flood", 1)
 	for range 64 {
@@ -170,12 +170,7 @@
 
 // TestStaysBehindFlood: the same client stays: its first request is answered, as the connection's last.
 func TestStaysBehindFlood(t *testing.T) {
-	ns, p := site(t, func(s sent, _ int) deed {
-		if strings.HasPrefix(s.id, "flood.") {
-			return serveOnceLet
-		}
-		return serve
-	}, options{})
+	ns, p := site(t, to("flood", serveOnceLet), options{})
 	c := open(t, p, "flood", "quote", 1)
 	waitBegun(t, ns, "flood", 1)
 	_, err := c.Write(bytes.Repeat([]byte("x"), 4<<20))
@@ -354,12 +349,7 @@
 	s := settings()
 	class := s["categories"].([]any)[0].(map[string]any)
 	class["effect"], class["dedup_window_ms"] = "idempotency_key", 300
-	ns, p := site(t, func(s sent, _ int) deed {
-		if strings.HasPrefix(s.id, "first.") {
-			return swallow
-		}
-		return serve
-	}, options{settings: s})
+	ns, p := site(t, to("first", swallow), options{settings: s})
 	with := func(id string) *net.TCPConn {
 		c := dial(t, p)
 		_, err := io.WriteString(c, strings.Replace(sized(id, good), "X-Class", "Idempotency-Key: k1\r\nX-Class", 1))
--- a/test/ending_test.go
+++ b/test/ending_test.go
@@ -90,12 +90,7 @@
 // TestEndPipelined: the program shuts while a request is out at a node, and another has been read behind it. Both are
 // answered, the second as the connection's last.
 func TestEndPipelined(t *testing.T) {
-	ns, p := site(t, func(s sent, _ int) deed {
-		if strings.HasPrefix(s.id, "one.") {
-			return serveOnceLet
-		}
-		return serve
-	}, options{})
+	ns, p := site(t, to("one", serveOnceLet), options{})
 	at := term(p)
 	require.Eventually(t, func() bool { return time.Since(at) > 600*time.Millisecond }, patience, time.Millisecond)
 	c := dial(t, p)
