--- a/balance/api.go
+++ b/balance/api.go
@@ -196,7 +196,7 @@
 	Outcome Outcome
 	Latency float64
 	Final   bool    // the part is over: answered, abandoned, or its query has ended
-	Alone   bool    // it was the connection that failed: the replica is known to stand
+	Alone   bool    // it was the connection that failed, or for Full was one too many: the replica stands
 	Pause   float64 // Moved: ms in which the part is not tried again, unless Resume ends that sooner
 }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -679,7 +679,7 @@
 // learn takes what an outcome says of its replica.
 func (b *Balancer) learn(now float64, a *attempt, res Result) {
 	r, bad := a.r, 1.0
-	b.sum.Ended(a.part.cost*res.Outcome.tells(), res.Outcome != Full)
+	b.sum.Ended(a.part.cost*res.tells(), res.Outcome != Full)
 	if res.Outcome == Moved {
 		r.used = now
 		return // it says nothing against the replica
@@ -691,6 +691,9 @@
 	}
 	quick := now-a.sent < quickReset*b.work(1)
 	if res.Alone {
+		if res.Outcome == Full {
+			r.shutUntil = now + shutFor/3*b.work(1)
+		}
 		return // guards sound replicas against the faults of the way to them
 	}
 	if b.idleEnds(now, a, res.Outcome, res.Outcome == Reset && quick) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -168,16 +168,20 @@
 	}
 }
 
-func (g *rig) end(a *rigSend, o Outcome) {
-	a.done, a.out = true, o
+func (g *rig) end(a *rigSend, o Outcome) { g.finish(a, Result{Outcome: o}) }
+
+// finish ends an attempt; res says how.
+func (g *rig) finish(a *rigSend, res Result) {
+	a.done, a.out = true, res.Outcome
 	for i, x := range g.open {
 		if x == a {
 			g.open = append(g.open[:i], g.open[i+1:]...)
 			break
 		}
 	}
-	a.part.in = a.part.in || o == OK
-	g.b.AttemptEnded(g.now, Result{Part: a.part.p.ID, Attempt: a.no, Replica: a.replica, Outcome: o, Latency: g.now - a.at})
+	a.part.in = a.part.in || res.Outcome == OK
+	res.Part, res.Attempt, res.Replica, res.Latency = a.part.p.ID, a.no, a.replica, g.now-a.at
+	g.b.AttemptEnded(g.now, res)
 }
 
 // after answers every attempt well once it is ms old.
--- a/balance/mass_test.go
+++ b/balance/mass_test.go
@@ -140,3 +140,31 @@
 	assert.True(t, back >= 0 && back <= 6, "left for %d half seconds", back)
 	assert.Less(t, most, 2.5*before, "all came back at once")
 }
+
+// TestConnectionsTurnedAwayDoNotCloseTheDoor: one of 30 has a third of its parts turned away since nodes hold no more
+// connections. That says nothing of what the fleet serves, so nothing is refused for it; as many turned away by full
+// queues do close the door in part.
+func TestConnectionsTurnedAwayDoNotCloseTheDoor(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		s := settings()
+		s.Peers, s.BudgetFree = 30, 1e6
+		g := newRig(t, s)
+		g.fleet(ListFull)
+		g.warm()
+		n := 0
+		for range 400 {
+			g.query(0, n%6)
+			g.turn()
+			g.pass(60, func(a *rigSend) {
+				if a.no == 0 && n%2 == 0 {
+					n++
+					g.finish(a, Result{Outcome: Full, Alone: alone})
+					return
+				}
+				g.after(40)(a)
+			})
+			n++
+		}
+		assert.Equal(t, alone, g.b.sum.Excess() == 0, "excess %v, by connection %v", g.b.sum.Excess(), alone)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -150,10 +150,11 @@
 	return s.v * math.Exp2((s.at-now)/half)
 }
 
-// tells is how much an outcome says of whether the fleet takes what it is sent, 0 or 1: nothing if no answer
-// came, as hung replicas and cut ways look like that too, or if the part was never meant for the replica.
-func (o Outcome) tells() float64 {
-	if o == TimedOut || o == Cancelled || o == Moot || o == Moved {
+// tells is how much a result says of whether the fleet takes what it is sent, 0 or 1: nothing if no answer
+// came, as hung replicas and cut ways look like that too, if the part was never meant for the replica, or if
+// it was turned away for its connection, as that says nothing of the replica's queue.
+func (res Result) tells() float64 {
+	if o := res.Outcome; o == TimedOut || o == Cancelled || o == Moot || o == Moved || o == Full && res.Alone {
 		return 0
 	}
 	return 1
--- a/internal/backends/conn.go
+++ b/internal/backends/conn.go
@@ -27,6 +27,9 @@
 	given   map[string]bool // parts given up, whose answers may still come
 	queued  uint64          // bytes handed to the stream so far
 	served  int
+	ended   bool // the backend has ended it: what is read now was its last
+	first   *out // answered busy, the first here: told once it is known whether the connection ends with it
+	firstBy float64
 	opened  float64
 	heard   float64 // when bytes last came, or it came up
 	dialBy  float64
@@ -62,6 +65,7 @@
 		if len(c.s.In) > held {
 			c.heard = c.pool.loop.Now()
 		}
+		c.ended = eof || err != nil
 		full := len(c.s.In) == maxRead // more may be waiting; a long frame in part alone is no reason to go on
 		if !c.parse() {
 			return false
@@ -117,10 +121,17 @@
 	case o == nil && c.given[a.id]:
 		delete(c.given, a.id)
 		return nil, nil // given up before: a late answer is ignored
-	case o == nil || o.call.end == 0:
+	case o == nil || o.call.end == 0 || o == c.first:
 		// A second copy, or somebody else's: the part that it stands for will never be answered here.
 		return nil, fmt.Errorf("%w: part %.100q is not out", errFrame, a.id)
 	}
+	if c.first != nil {
+		c.notCrowded() // it answers more: it is held
+	}
+	if a.end == endBusy && c.served == 0 && !c.ended {
+		c.first, c.firstBy = o, c.heard+atOnce
+		return o, nil
+	}
 	o.over = true
 	if k := o.call; k.idle > 0 {
 		c.pool.risk.note(c.heard, k.idle, false)
@@ -133,6 +144,9 @@
 	case endErr:
 		c.pool.core.Ended(o.a, balance.Failed, nil)
 	case endBusy:
+		if c.served == 1 && c.ended {
+			c.crowded(o)
+		}
 		c.pool.core.Ended(o.a, balance.Full, nil)
 	case endGone:
 		o.a.NodeEpoch = a.epoch
@@ -141,6 +155,24 @@
 	return o, nil
 }
 
+// crowded notes that the backend holds no more connections: it answered the first part on this one with busy
+// and ended it. That says nothing of its queue.
+func (c *conn) crowded(o *out) {
+	c.pool.limit.turnedAway(c.pool.loop.Now(), c.opened)
+	o.a.Alone = true
+}
+
+// notCrowded tells the first part's end as a full queue's: the connection has not ended with it.
+func (c *conn) notCrowded() {
+	o := c.first
+	c.first = nil
+	if c.served++; !o.over {
+		o.over = true
+		c.done(o)
+		c.pool.core.Ended(o.a, balance.Full, nil)
+	}
+}
+
 // spoilt closes a connection on which something came that cannot be used: nothing good comes on it any
 // more. The part that was answered so, or else the one that has waited longest, has failed and may have
 // run; so may the others have, of which nothing is said against the backend.
@@ -177,6 +209,9 @@
 func (c *conn) rest() {
 	c.idleAt = math.Inf(1)
 	if len(c.calls) == 0 {
+		if c.node.usable() > c.pool.limit.now(c.pool.loop.Now()) {
+			c.retire(logs.LeafCrowded)
+		}
 		k := c.pool.o.KeepAlive
 		c.idleAt = c.pool.loop.Now() + max(min(k*idleShare, k-idleSpare), 0)
 	}
@@ -309,8 +344,13 @@
 		}
 		for _, o := range k.parts {
 			if !o.over {
-				o.over, o.a.Alone = true, alone
-				c.pool.core.Later(o.a, outcome)
+				end := outcome
+				if o.over, o.a.Alone = true, alone; o == c.first {
+					if end = balance.Full; code == logs.LeafEnded || code == logs.LeafReset {
+						c.crowded(o)
+					}
+				}
+				c.pool.core.Later(o.a, end)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/backends/limit.go
@@ -0,0 +1,33 @@
+package backends
+
+import "math"
+
+const (
+	spread    = 4      // connections to a backend on which nothing else is out, before calls share one
+	limitGrow = 5000.0 // ms without a connection turned away for one more
+)
+
+// connLimit is how many connections to one backend are opened so that calls need not share one. A backend holds
+// so many from all brokers together, a number that nobody is told: it answers the first call on one more with
+// busy and closes it. Each broker halves what it opens when that happens, to no less than one, once for all
+// that were opened before; and grows by one each limitGrow without it. So what all open together comes down
+// below what backends hold, whatever the number of brokers is; calls that share one cost nothing but what
+// breaks with it. Times are the loop's, in ms.
+type connLimit struct {
+	most, at, cutAt float64 // most as it was at at; what was opened before cutAt says nothing more
+}
+
+// now is the limit, in 1 to spread.
+func (l *connLimit) now(now float64) int {
+	if l.most == 0 {
+		return spread
+	}
+	return int(math.Min(spread, l.most+(now-l.at)/limitGrow))
+}
+
+// turnedAway notes that a connection opened at opened was one too many for its backend.
+func (l *connLimit) turnedAway(now, opened float64) {
+	if l.at = now; l.most == 0 || opened >= l.cutAt {
+		l.most, l.cutAt = math.Max(1, float64(l.now(now))/2), now
+	}
+}
--- a/internal/backends/pool.go
+++ b/internal/backends/pool.go
@@ -31,7 +31,6 @@
 	maxRead   = 2 * maxFrame
 
 	wholeMost = 300.0 // ms from a frame's first byte to its last
-	spread    = 4     // connections to a backend on which nothing else is out, before calls share one
 	givenMost = 64    // parts given up on a connection that may still be answered
 	atOnce    = 5.0   // ms after which a connection that breaks did so under the part, not before it
 	freshFor  = 250.0 // ms since a connection was last used, within which it may carry a part that must not
@@ -55,6 +54,7 @@
 	dirty   []*node // sent to in this turn
 	conns   int
 	risk    idleRisk
+	limit   connLimit
 	timer   *loop.Timer
 }
 
@@ -73,6 +73,16 @@
 	turn   []*core.Attempt // sent in this turn, not yet in calls
 }
 
+// usable is how many connections take calls.
+func (l *node) usable() (n int) {
+	for _, c := range l.conns {
+		if c.retired == "" && c.first == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // call is one Q frame.
 type call struct {
 	conn  *conn
@@ -161,7 +171,7 @@
 // nobody looked.
 func (p *Pool) choose(l *node, once bool) *conn {
 	var best *conn
-	now, most := p.loop.Now(), max(1, min(spread, p.o.Sockets/max(len(p.nodes), 1)))
+	now, most := p.loop.Now(), max(1, min(p.limit.now(p.loop.Now()), p.o.Sockets/max(len(p.nodes), 1)))
 	for _, c := range l.conns {
 		unused := 0.0
 		if c.up && len(c.calls) == 0 {
@@ -170,7 +180,7 @@
 		if !p.risk.fits(now, unused, riskMost) {
 			c.retire(logs.LeafIdle)
 		}
-		if c.retired != "" || len(c.calls)+len(c.given) >= p.o.Streams ||
+		if c.retired != "" || c.first != nil || len(c.calls)+len(c.given) >= p.o.Streams ||
 			once && (unused > freshFor || !p.risk.fits(now, unused, riskOnce)) {
 			continue
 		}
@@ -179,7 +189,7 @@
 			best = c
 		}
 	}
-	if best == nil || len(best.calls) > 0 && len(l.conns) < most && p.conns < p.o.Sockets {
+	if best == nil || len(best.calls) > 0 && l.usable() < most && p.conns < p.o.Sockets {
 		if c := p.dial(l); c != nil {
 			return c
 		}
@@ -279,6 +289,8 @@
 			switch {
 			case !c.up && now >= c.dialBy:
 				c.close(logs.LeafDialTimeout, nil)
+			case c.first != nil && now >= c.firstBy:
+				c.notCrowded()
 			case now >= c.cutAt:
 				c.spoilt(nil, fmt.Errorf("%w: it does not come whole", errFrame))
 			case len(c.calls) == 0 && c.retired != "":
@@ -306,6 +318,9 @@
 			} else {
 				next = min(next, c.idleAt, c.cutAt)
 			}
+			if c.first != nil {
+				next = min(next, c.firstBy)
+			}
 			if c.retired != "" && len(c.calls) == 0 {
 				next = min(next, p.loop.Now())
 			}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -36,6 +36,7 @@
 	LeafRoom          Code = "L08"
 	LeafMoved         Code = "L10" // the list names another address
 	LeafQuiet         Code = "L09" // a part was given up on it and nothing had come since
+	LeafCrowded       Code = "L11" // backends hold no more connections: idle ones beyond the limit go
 	DiscoveryEnded    Code = "D01"
 	DiscoveryReset    Code = "D02"
 	DiscoveryRefused  Code = "D03"
