--- a/balance/balance.go
+++ b/balance/balance.go
@@ -691,9 +691,6 @@
 	}
 	quick := now-a.sent < quickReset*b.work(1)
 	if res.Alone {
-		if res.Outcome == Full {
-			r.shutUntil = now + shutFor/3*b.work(1)
-		}
 		return // guards sound replicas against the faults of the way to them
 	}
 	if b.idleEnds(now, a, res.Outcome, res.Outcome == Reset && quick) {
