--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,6 +85,7 @@
 	answerSpare = 10.0  // ms, and a tick: so long before the client leaves the final answer is out
 	sweepEvery  = 10.0  // ms between sweeps; finer than any latency judged
 	coldShare   = 0.7   // of the cold allowance used: the rest is for errors of the estimate
+	jamWeighs   = 1.5   // x the weight of a part held as long as that, of what may be missed
 	openAim     = 0.5   // x aim: a part is not waited for whose replicas all stay closed for longer
 	coldGrant   = 2.0   // mean parts' work: a smaller share of the allowance is rounded to whole parts
 	coldStride  = 0.618 // circles: how far apart replicas' turns begin; the golden ratio spreads them
@@ -338,27 +339,24 @@
 func (b *Balancer) admit(now float64, q *query) {
 	// Overload: refuse at the door, least worth for work first. It shows in parts held and, among many peers
 	// that hold little each, in the fleet's room and in how much of what is sent is served; what is larger
-	// than the room is let in at a pace. May refuse what a jam about to end would serve.
-	worst, cost, listed := 0.0, 0.0, 0.0
+	// than the room is let in at a pace. May refuse what a jam about to end would serve. Parts that are jammed,
+	// or open nowhere soon, are missed: fatal unless an answer may lack them and the others are hardly held.
+	held, cost, missed, worth := 0.0, 0.0, 0.0, q.value/b.maxWorth
 	for _, p := range q.parts {
-		if cost += p.cost; slices.ContainsFunc(b.holdersOf(p.Shard), func(r *replica) bool {
-			return b.opens(now, r, p.cost) <= now+openAim*q.class.Aim
-		}) {
-			listed += p.Weight
+		wait := b.waited(now, p) / (q.class.Aim * (shedAt + shedSpan*worth))
+		cost, held = cost+p.cost, held+p.Weight*jamWeighs*min(1, wait)
+		if p.over = p.over || q.step == 0 && wait > 1; p.over || !b.opensBy(now, p, now+openAim*q.class.Aim) {
+			missed += p.Weight
 		}
-		worst = max(worst, now-b.held(p.Shard, now))
 	}
-	worth := q.value / b.maxWorth
 	room := b.room * (roomLow + worth)
 	shed := q.step == 0 && (q.Deadline-b.spare < now+b.sum.Takes(b.median*b.partTime, len(q.parts)) ||
-		worst > q.class.Aim*(shedAt+shedSpan*worth) || b.load > room ||
+		missed > 0 && max(missed, held) > 1-q.class.Floor+weightSlack || b.load > room ||
 		now < b.admitted+(cost/room-1)*b.median*b.partTime || b.sum.Refuse(worth, b.random))
-	if shed && (b.load > room || worst > 0) {
+	if shed && (b.load > room || held > 0) {
 		b.jamAt = now
 	}
-	// What has no holder, or none that opens soon, is not waited for: the client can come back.
-	if shed || len(q.parts) == 0 || q.step == 0 && listed < q.class.Floor-weightSlack ||
-		now >= q.Deadline-b.spare {
+	if shed || len(q.parts) == 0 || now >= q.Deadline-b.spare {
 		b.finish(now, q)
 		return
 	}
@@ -371,12 +369,14 @@
 	todo := ask[:0]
 	for _, p := range ask {
 		asked := p.unit != nil && p.unit.asked // parts that count together are asked together
-		if p.reserve = q.step == 0 && sum >= q.class.Need-weightSlack && !asked; !p.reserve {
+		if p.reserve = q.step == 0 && sum >= q.class.Need-weightSlack && !asked; !p.reserve && !p.over {
 			if todo = append(todo, p); p.unit != nil {
 				p.unit.asked = true
 			}
 		}
-		sum += p.Weight
+		if !p.over {
+			sum += p.Weight
+		}
 	}
 	b.place(now, todo)
 }
--- a/balance/turns_test.go
+++ b/balance/turns_test.go
@@ -51,3 +51,51 @@
 	assert.GreaterOrEqual(t, least, 0.8*nodes*parts)
 	assert.LessOrEqual(t, most, 1.2*nodes*parts)
 }
+
+// TestJammedShardIsLeftOut: all replicas of shard 0 are jammed, the others are quick. A query of twelve parts whose answer
+// may lack some is let in without asking shard 0, and answered in part as soon as the others are in; one that has to be
+// whole is refused; and where the others are held too, so is the first.
+func TestJammedShardIsLeftOut(t *testing.T) {
+	s := settings()
+	s.Shards, s.Cells, s.Reach, s.Cancel = 12, 12, 1, false
+	g := newRig(t, s)
+	g.fleet(ListFull)
+	g.warm()
+	stuck := map[uint32]bool{1: true}
+	reply := func(a *rigSend) {
+		if !stuck[a.replica] {
+			g.after(40)(a)
+		}
+	}
+	jam := func() {
+		for range 6 {
+			g.query(0, 0)
+			g.turn()
+		}
+		g.pass(300, reply)
+	}
+	jam()
+	all := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11}
+	part, whole := g.query(1, all...), g.query(0, 0, 1)
+	g.turn()
+	assert.Equal(t, "refuse", whole.how)
+	assert.Empty(t, part.parts[0].sends, "shard 0 is not asked")
+	assert.Empty(t, part.how)
+	begin := g.now
+	g.pass(200, reply)
+	assert.Equal(t, "answer", part.how)
+	assert.False(t, part.whole)
+	assert.Less(t, part.finished-begin, 150.0, "it does not wait for what was not asked")
+
+	for _, r := range []uint32{3, 5, 7, 9, 11} { // now half of the others are held, under the bound
+		stuck[r] = true
+		for range 6 {
+			g.query(0, int(r-1))
+		}
+	}
+	g.turn()
+	g.pass(220, reply)
+	busy := g.query(1, all...)
+	g.turn()
+	assert.Equal(t, "refuse", busy.how)
+}
