--- a/balance/layout.go
+++ b/balance/layout.go
@@ -103,7 +103,8 @@
 	return cmp.Or(b.waits[b.s.Layout.Group(id)], now)
 }
 
-// waited is how long the oldest call is held at the replicas of a part's shard, or of one that counts with it.
+// waited is how long the oldest call is held at the replicas of a part's shard, or of one that counts with
+// it, in ms.
 func (b *Balancer) waited(now float64, p *part) (ms float64) {
 	for _, x := range p.legs() {
 		ms = max(ms, now-b.held(x.Shard, now))
@@ -113,7 +114,9 @@
 
 // opensBy tells that some replica of a part's shard opens for it by then.
 func (b *Balancer) opensBy(now float64, p *part, then float64) bool {
-	return slices.ContainsFunc(b.holdersOf(p.Shard), func(r *replica) bool { return b.opens(now, r, p.cost) <= then })
+	return slices.ContainsFunc(b.holdersOf(p.Shard), func(r *replica) bool {
+		return b.opens(now, r, p.cost) <= then
+	})
 }
 
 // sortActive sorts the active shards, so that a turn does the same whatever came first.
--- a/internal/backends/limit.go
+++ b/internal/backends/limit.go
@@ -7,12 +7,12 @@
 	limitGrow = 5000.0 // ms without a connection turned away for one more
 )
 
-// connLimit is how many connections to one backend are opened so that calls need not share one. A backend holds
-// so many from all brokers together, a number that nobody is told: it answers the first call on one more with
-// busy and closes it. Each broker halves what it opens when that happens, to no less than one, once for all
-// that were opened before; and grows by one each limitGrow without it. So what all open together comes down
-// below what backends hold, whatever the number of brokers is; calls that share one cost nothing but what
-// breaks with it. Times are the loop's, in ms.
+// connLimit is how many connections to one backend are opened so that calls need not share one. A backend
+// holds so many from all brokers together, a number that nobody is told: it answers the first call on one
+// more with busy and closes it. Each broker halves what it opens when that happens, to no less than one, once
+// for all that were opened before; it grows by one each limitGrow without. So what all open together comes
+// down below what backends hold, whatever the number of brokers is; calls that share one cost nothing but
+// what breaks with it. Times are the loop's, in ms.
 type connLimit struct {
 	most, at, cutAt float64 // most as it was at at; what was opened before cutAt says nothing more
 }
