--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
-	"ternstage/internal/adminapi"
 	"ternstage/internal/backends"
 	"ternstage/internal/catalog"
 	"ternstage/internal/clients"
@@ -23,9 +22,10 @@
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
 	"ternstage/internal/membership"
+	"ternstage/internal/ops/adminapi"
+	"ternstage/internal/ops/control"
 	"ternstage/internal/reload"
 	"ternstage/internal/slicemap"
-	"ternstage/internal/upkeep"
 )
 
 const (
@@ -117,13 +117,13 @@
 		DrainGrace: cfg.Module.DrainGrace, Me: cfg.Module.Me, Peers: cfg.Module.Peers})
 	watch := discovery.NewWatcher(l, c, log, nodes, reader, cfg.Discovery, server.MakeRoom)
 	c.Attach(back, watch)
-	var ops *upkeep.Upkeep
+	var ops *control.Control
 	if cfg.Mgmt != "" {
 		// Held leafs are read before the list, so that none of them is taken for serving at the start.
-		ops = upkeep.New(l, log, filepath.Join(os.TempDir(), heldFile), nodes, c, server)
-		nodes.HoldBy(ops.Bans())
+		ops = control.New(l, log, filepath.Join(os.TempDir(), heldFile), nodes, c, server)
+		nodes.SuspendBy(ops.Suspensions())
 		if cfg.Inherited > 0 {
-			ops.HandOverBy(&upkeep.Hand{Path: filepath.Join(os.TempDir(), handFile), Window: cfg.Module.FallFor,
+			ops.HandOverBy(&control.Hand{Path: filepath.Join(os.TempDir(), handFile), Window: cfg.Module.FallFor,
 				Started: float64(started.UnixMicro()) / 1000, Core: c,
 				Known: func(x uint32) bool { return nodes.Address(x) != "" }})
 		}
@@ -213,8 +213,8 @@
 	loop    *loop.Loop
 	core    *core.Core
 	server  *clients.Server
-	front   *flight.Front  // nil where Flight is off
-	ops     *upkeep.Upkeep // nil where there is no admin API
+	front   *flight.Front    // nil where Flight is off
+	ops     *control.Control // nil where there is no admin API
 	timer   *loop.Timer
 	longest float64 // ms: the longest deadline, as it puts SIGKILL off
 	// ms after SIGTERM in which connections are still accepted
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -64,7 +64,7 @@
 	address map[uint32]string
 	listed  map[string]float64       // members that are listed, with their starts as the list says them
 	entries map[string]balance.Entry // of members that are listed, as the list says them
-	hold    Holder
+	hold    Suspender
 	ended   map[string]ending // of members that were told to drain or to be gone
 }
 
@@ -76,23 +76,23 @@
 
 const mostEnded = 4096 // members of which it is kept that they have drained or gone
 
-// Holder says which members the operators hold out of service, and hears of every member that is listed.
-type Holder interface {
+// Suspender says which members the operators hold out of service, and hears of every member that is listed.
+type Suspender interface {
 	Listed(id string)
-	Held(id string) bool
+	Suspended(id string) bool
 }
 
-// HoldBy has members that h holds out given to the module as draining, whatever the list says.
-func (n *Nodes) HoldBy(h Holder) { n.hold = h }
+// SuspendBy has members that h holds out given to the module as draining, whatever the list says.
+func (n *Nodes) SuspendBy(h Suspender) { n.hold = h }
 
 // Entry is the module's form of a listed member, with what holds applied; false for one that is not listed.
 func (n *Nodes) Entry(id string) (balance.Entry, bool) {
 	e, ok := n.entries[id]
-	return n.held(id, e), ok
+	return n.suspended(id, e), ok
 }
 
-func (n *Nodes) held(id string, e balance.Entry) balance.Entry {
-	if n.hold != nil && e.State == balance.Ready && n.hold.Held(id) {
+func (n *Nodes) suspended(id string, e balance.Entry) balance.Entry {
+	if n.hold != nil && e.State == balance.Ready && n.hold.Suspended(id) {
 		e.State = balance.Draining
 	}
 	return e
@@ -202,7 +202,7 @@
 				n.hold.Listed(m.ID)
 			}
 		}
-		es = append(es, n.held(m.ID, e))
+		es = append(es, n.suspended(m.ID, e))
 	}
 	// Numbers of members that are gone are forgotten, as new ones come under new ids all day. One that comes
 	// back has its old number again, unless two ids clash.
--- a/internal/adminapi/adminapi.go
+++ b/internal/ops/adminapi/adminapi.go
@@ -17,17 +17,17 @@
 
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
-	"ternstage/internal/maint"
+	"ternstage/internal/ops/maintenance"
 )
 
 // Calls carries out what operators ask. Each is called on the loop and must not wait.
 type Calls interface {
 	// Ready tells whether the process is ready to serve.
 	Ready() bool
-	Suspend(id string) maint.Verdict
-	Resume(id string) maint.Verdict
-	Drain() maint.Verdict
-	Activate() maint.Verdict
+	Suspend(id string) maintenance.Verdict
+	Resume(id string) maintenance.Verdict
+	Drain() maintenance.Verdict
+	Activate() maintenance.Verdict
 }
 
 // Bounds of the API.
@@ -153,23 +153,23 @@
 }
 
 // route answers a call that has come whole.
-func (d *Server) route(method, path string) maint.Verdict {
+func (d *Server) route(method, path string) maintenance.Verdict {
 	const leafs = "/v1/leafs/"
-	put := func(do func() maint.Verdict) maint.Verdict {
+	put := func(do func() maintenance.Verdict) maintenance.Verdict {
 		if method != "PUT" {
-			return maint.Verdict{Status: 405, Reason: "PUT only"}
+			return maintenance.Verdict{Status: 405, Reason: "PUT only"}
 		}
 		return do()
 	}
 	switch {
 	case path == "/v1/readyz":
 		if method != "GET" && method != "HEAD" {
-			return maint.Verdict{Status: 405, Reason: "GET only"}
+			return maintenance.Verdict{Status: 405, Reason: "GET only"}
 		}
 		if d.calls.Ready() {
-			return maint.Verdict{Status: 200, Reason: "ready"}
+			return maintenance.Verdict{Status: 200, Reason: "ready"}
 		}
-		return maint.Verdict{Status: 503, Reason: "not ready"}
+		return maintenance.Verdict{Status: 503, Reason: "not ready"}
 	case path == "/v1/aggregator/drain":
 		return put(d.calls.Drain)
 	case path == "/v1/aggregator/activate":
@@ -178,12 +178,12 @@
 		id, verb, ok := strings.Cut(path[len(leafs):], "/")
 		switch {
 		case ok && verb == "suspend":
-			return put(func() maint.Verdict { return d.calls.Suspend(id) })
+			return put(func() maintenance.Verdict { return d.calls.Suspend(id) })
 		case ok && verb == "resume":
-			return put(func() maint.Verdict { return d.calls.Resume(id) })
+			return put(func() maintenance.Verdict { return d.calls.Resume(id) })
 		}
 	}
-	return maint.Verdict{Status: 404, Reason: "no such call: " + strconv.Quote(path)}
+	return maintenance.Verdict{Status: 404, Reason: "no such call: " + strconv.Quote(path)}
 }
 
 // conn is one caller.
@@ -224,7 +224,7 @@
 
 // answer writes the verdict and ends our side.
 // The call is the connection's one line in the log, in place of the line of its end.
-func (c *conn) answer(method, path string, v maint.Verdict) {
+func (c *conn) answer(method, path string, v maintenance.Verdict) {
 	c.server.log.Info("operator call", zap.String("code", string(logs.OperatorDone)), zap.String("peer", c.peer),
 		zap.String("method", method), zap.String("path", path), zap.Int("status", v.Status),
 		zap.String("reason", v.Reason), zap.Bool("changed", v.Changed))
--- a/internal/upkeep/upkeep.go
+++ b/internal/ops/control/control.go
@@ -1,7 +1,7 @@
-// Package upkeep carries out the operators' calls on the loop: it asks maint what a call changes, keeps the
+// Package control carries out the operators' calls on the loop: it asks maintenance what a call changes, keeps the
 // held leafs in a file that every process of the aggregator shares, has the module hear of what is held
 // as it hears of the list, and has the front send clients away. It implements adminapi.Calls.
-package upkeep
+package control
 
 import (
 	"errors"
@@ -14,10 +14,10 @@
 	"go.uber.org/zap"
 
 	"ternstage/balance"
-	"ternstage/internal/handover"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
-	"ternstage/internal/maint"
+	"ternstage/internal/ops/handover"
+	"ternstage/internal/ops/maintenance"
 )
 
 // Look is how often the file is looked at for what another process of the aggregator wrote, in ms: well
@@ -43,13 +43,13 @@
 	EndIdle()
 }
 
-// Upkeep carries out the operators' calls.
-type Upkeep struct {
+// Control carries out the operators' calls.
+type Control struct {
 	loop     *loop.Loop
 	log      *logs.Log
-	bans     *maint.Bans
-	drain    maint.Drain
-	phase    maint.Phase
+	bans     *maintenance.Suspensions
+	drain    maintenance.Drain
+	phase    maintenance.Phase
 	list     List
 	members  Members
 	front    Front
@@ -77,8 +77,8 @@
 	taken      bool
 }
 
-// HandOverBy has the upkeep hand cold sends over at Stop, and take them over from the process before.
-func (u *Upkeep) HandOverBy(h *Hand) {
+// HandOverBy has the control hand cold sends over at Stop, and take them over from the process before.
+func (u *Control) HandOverBy(h *Hand) {
 	u.hand = h
 	u.lookHand()
 }
@@ -89,25 +89,25 @@
 	mtime     int64 // ns
 }
 
-// New makes the upkeep and reads the file of held leafs at path, if there is one. A file that cannot be
+// New makes the control and reads the file of held leafs at path, if there is one. A file that cannot be
 // used is logged and taken for none: it does not stop a start.
-func New(l *loop.Loop, log *logs.Log, path string, members Members, list List, front Front) *Upkeep {
-	u := &Upkeep{loop: l, log: log, bans: maint.NewBans(), list: list, members: members, front: front,
+func New(l *loop.Loop, log *logs.Log, path string, members Members, list List, front Front) *Control {
+	u := &Control{loop: l, log: log, bans: maintenance.NewSuspensions(), list: list, members: members, front: front,
 		path: path}
 	u.timer = l.NewTimer(u.tick)
 	u.look()
 	return u
 }
 
-// Bans are the held leafs, for the list to ask.
-func (u *Upkeep) Bans() *maint.Bans { return u.bans }
+// Suspensions are the held leafs, for the list to ask.
+func (u *Control) Suspensions() *maintenance.Suspensions { return u.bans }
 
 // Start begins to look at the file and at the phase of a drain.
-func (u *Upkeep) Start() { u.timer.Set(u.loop.Now() + Look) }
+func (u *Control) Start() { u.timer.Set(u.loop.Now() + Look) }
 
 // Stop tells that the program ends: it is no longer ready, and another process takes over what it sent
 // to cold leafs.
-func (u *Upkeep) Stop() {
+func (u *Control) Stop() {
 	if u.stopping {
 		return
 	}
@@ -121,7 +121,7 @@
 }
 
 // lookHand reads the record of the process before, if it has changed, and takes it over when it may.
-func (u *Upkeep) lookHand() {
+func (u *Control) lookHand() {
 	h := u.hand
 	if h == nil || h.taken {
 		return
@@ -155,15 +155,15 @@
 }
 
 // Ready implements adminapi.Calls.
-func (u *Upkeep) Ready() bool { return !u.stopping && u.front.Healthy() }
+func (u *Control) Ready() bool { return !u.stopping && u.front.Healthy() }
 
 // Suspend implements adminapi.Calls.
-func (u *Upkeep) Suspend(id string) maint.Verdict { return u.change(id, u.bans.Suspend) }
+func (u *Control) Suspend(id string) maintenance.Verdict { return u.change(id, u.bans.Suspend) }
 
 // Resume implements adminapi.Calls.
-func (u *Upkeep) Resume(id string) maint.Verdict { return u.change(id, u.bans.Resume) }
+func (u *Control) Resume(id string) maintenance.Verdict { return u.change(id, u.bans.Resume) }
 
-func (u *Upkeep) change(id string, do func(string) maint.Verdict) maint.Verdict {
+func (u *Control) change(id string, do func(string) maintenance.Verdict) maintenance.Verdict {
 	u.look() // what another process wrote comes first
 	v := do(id)
 	if !v.Changed {
@@ -173,42 +173,42 @@
 	if err := u.write(); err != nil {
 		// It holds in this process, but would not hold in the next: a no, so that the call is made again.
 		u.log.Warn("held leafs not kept", zap.String("file", u.path), zap.Error(err))
-		return maint.Verdict{Status: 500, Reason: "so here, but not kept for the next process: " + err.Error(),
+		return maintenance.Verdict{Status: 500, Reason: "so here, but not kept for the next process: " + err.Error(),
 			Changed: true}
 	}
 	return v
 }
 
 // Drain implements adminapi.Calls.
-func (u *Upkeep) Drain() maint.Verdict {
+func (u *Control) Drain() maintenance.Verdict {
 	v := u.drain.Drain(u.loop.Now())
 	u.follow()
 	return v
 }
 
 // Activate implements adminapi.Calls.
-func (u *Upkeep) Activate() maint.Verdict {
+func (u *Control) Activate() maintenance.Verdict {
 	v := u.drain.Activate()
 	u.follow()
 	return v
 }
 
 // follow has the front do what the phase of a drain asks.
-func (u *Upkeep) follow() {
+func (u *Control) follow() {
 	p := u.drain.Phase(u.loop.Now())
-	if p == maint.Emptying {
+	if p == maintenance.Emptying {
 		u.front.EndIdle() // again at each look: one that a late client opened is not left idle either
 	}
 	if p == u.phase {
 		return
 	}
 	u.log.Info("clients", zap.Stringer("from", u.phase), zap.Stringer("to", p))
-	u.front.SendAway(p != maint.Serving)
-	u.front.CloseKept(p >= maint.Closing)
+	u.front.SendAway(p != maintenance.Serving)
+	u.front.CloseKept(p >= maintenance.Closing)
 	u.phase = p
 }
 
-func (u *Upkeep) tick() {
+func (u *Control) tick() {
 	u.look()
 	u.lookHand()
 	u.follow()
@@ -216,7 +216,7 @@
 }
 
 // tell has the module hear of a leaf that is held or freed, as the list would tell it.
-func (u *Upkeep) tell(ids ...string) {
+func (u *Control) tell(ids ...string) {
 	es := make([]balance.Entry, 0, len(ids))
 	for _, id := range ids {
 		if e, ok := u.members.Entry(id); ok {
@@ -229,7 +229,7 @@
 }
 
 // look reads the file again if it has changed since it was last read or written.
-func (u *Upkeep) look() {
+func (u *Control) look() {
 	fi, err := os.Stat(u.path)
 	if errors.Is(err, fs.ErrNotExist) {
 		return // nothing was ever held, or what was is kept here
@@ -244,11 +244,11 @@
 	}
 	text, err := os.ReadFile(u.path)
 	if err == nil && len(text) != int(st.size) {
-		err = fmt.Errorf("%w: changed while read", maint.ErrFile)
+		err = fmt.Errorf("%w: changed while read", maintenance.ErrFile)
 	}
 	var ids []string
 	if err == nil {
-		ids, err = maint.Decode(text)
+		ids, err = maintenance.Decode(text)
 	}
 	if err != nil {
 		u.refuse(st, err)
@@ -263,7 +263,7 @@
 	}
 }
 
-func (u *Upkeep) refuse(st stamp, err error) {
+func (u *Control) refuse(st stamp, err error) {
 	if st != u.bad || st == (stamp{}) {
 		u.log.Warn("held leafs not read: those held stay as they were", zap.String("file", u.path),
 			zap.Error(err))
@@ -273,8 +273,8 @@
 
 // write keeps the held leafs: a new file under another name takes the old one's place in one rename, so
 // that a reader sees the old or the new and never half of one.
-func (u *Upkeep) write() error {
-	if err := writeFile(u.path, maint.Encode(u.bans.IDs())); err != nil {
+func (u *Control) write() error {
+	if err := writeFile(u.path, maintenance.Encode(u.bans.IDs())); err != nil {
 		return err
 	}
 	if fi, err := os.Stat(u.path); err == nil {
--- a/internal/upkeep/upkeep_test.go
+++ b/internal/ops/control/control_test.go
@@ -1,4 +1,4 @@
-package upkeep
+package control
 
 import (
 	"os"
@@ -11,12 +11,12 @@
 	"ternstage/balance"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
-	"ternstage/internal/maint"
+	"ternstage/internal/ops/maintenance"
 )
 
-// process is one process of an aggregator as the upkeep sees it.
+// process is one process of an aggregator as the control sees it.
 type process struct {
-	*Upkeep
+	*Control
 	heard []balance.Entry // what the module was told
 	away  bool
 	kept  bool
@@ -35,7 +35,7 @@
 // Entry gives every id a listed leaf, numbered by its first byte, with what holds applied.
 func (p *process) Entry(id string) (balance.Entry, bool) {
 	e := balance.Entry{Replica: uint32(id[len(id)-1]), State: balance.Ready}
-	if p.Upkeep != nil && p.bans.Held(id) {
+	if p.Control != nil && p.bans.Suspended(id) {
 		e.State = balance.Draining
 	}
 	return e, true
@@ -49,12 +49,12 @@
 	require.NoError(t, err)
 	log := logs.New(f, "n0")
 	t.Cleanup(func() { log.Close(); _ = f.Close() })
-	p.Upkeep = New(l, log, path, p, p, p)
+	p.Control = New(l, log, path, p, p, p)
 	return p
 }
 
 func (p *process) logged(t *testing.T) string {
-	p.Upkeep.log.Close()
+	p.Control.log.Close()
 	text, err := os.ReadFile(p.log)
 	require.NoError(t, err)
 	return string(text)
@@ -65,19 +65,19 @@
 func TestShared(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "held.json")
 	a, b := start(t, path), start(t, path)
-	a.Bans().Listed("s-1")
+	a.Suspensions().Listed("s-1")
 	require.Equal(t, 200, a.Suspend("s-1").Status)
 	require.Equal(t, []balance.Entry{{Replica: '1', State: balance.Draining}}, a.heard, "the module hears at once")
 
 	b.look()
-	assert.True(t, b.Bans().Held("s-1"), "the other process holds it after a look")
+	assert.True(t, b.Suspensions().Suspended("s-1"), "the other process holds it after a look")
 	assert.Equal(t, balance.Draining, b.heard[0].State)
 	c := start(t, path)
-	assert.True(t, c.Bans().Held("s-1"), "a process that starts reads it")
+	assert.True(t, c.Suspensions().Suspended("s-1"), "a process that starts reads it")
 
 	require.Equal(t, 200, b.Resume("s-1").Status, "a resume at either process ends it")
 	a.look()
-	assert.False(t, a.Bans().Held("s-1"))
+	assert.False(t, a.Suspensions().Suspended("s-1"))
 	assert.Equal(t, balance.Ready, a.heard[len(a.heard)-1].State, "the module hears that it serves again")
 	b.heard = nil
 	b.look()
@@ -90,22 +90,22 @@
 	dir := t.TempDir()
 	path := filepath.Join(dir, "held.json")
 	a := start(t, path)
-	a.Bans().Listed("s-1")
+	a.Suspensions().Listed("s-1")
 	require.True(t, a.Suspend("s-1").Yes())
 	require.NoError(t, os.WriteFile(path, []byte(`{"form":"ternstage held leafs","vers`), 0o600))
 	a.look()
 	a.look()
-	assert.True(t, a.Bans().Held("s-1"), "a torn file frees nothing")
-	require.NoError(t, os.WriteFile(path, maint.Encode(nil)[:5], 0o600))
+	assert.True(t, a.Suspensions().Suspended("s-1"), "a torn file frees nothing")
+	require.NoError(t, os.WriteFile(path, maintenance.Encode(nil)[:5], 0o600))
 	b := start(t, path)
-	assert.Empty(t, b.Bans().IDs(), "a start with a torn file holds nothing and goes on")
+	assert.Empty(t, b.Suspensions().IDs(), "a start with a torn file holds nothing and goes on")
 	assert.Contains(t, b.logged(t), "torn or not JSON")
 
 	gone := start(t, filepath.Join(dir, "no such folder", "held.json"))
-	gone.Bans().Listed("s-2")
+	gone.Suspensions().Listed("s-2")
 	v := gone.Suspend("s-2")
 	assert.Equal(t, 500, v.Status, "not kept for the next process is a no")
-	assert.True(t, gone.Bans().Held("s-2"), "but it holds here")
+	assert.True(t, gone.Suspensions().Suspended("s-2"), "but it holds here")
 }
 
 // TestPhases: the front is told each phase of a drain once, and idle connections are closed at every look of
@@ -116,8 +116,8 @@
 	require.True(t, p.Drain().Changed)
 	assert.True(t, p.away)
 	assert.False(t, p.Ready())
-	p.drain = maint.Drain{}
-	p.drain.Drain(p.loop.Now() - maint.EmptyAfter) // as if it had begun that long ago
+	p.drain = maintenance.Drain{}
+	p.drain.Drain(p.loop.Now() - maintenance.EmptyAfter) // as if it had begun that long ago
 	p.follow()
 	p.follow()
 	assert.True(t, p.kept)
--- a/internal/maint/drain.go
+++ b/internal/ops/maintenance/drain.go
@@ -1,4 +1,4 @@
-package maint
+package maintenance
 
 // Phase is where the aggregator stands in sending its clients away.
 type Phase uint8
--- a/internal/maint/file.go
+++ b/internal/ops/maintenance/file.go
@@ -1,4 +1,4 @@
-package maint
+package maintenance
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 const FileVersion = 1
 
 // MaxFile is the largest file of held leafs that is read, in bytes.
-const MaxFile = MaxHeld*(MaxID+4) + 256
+const MaxFile = MaxSuspended*(MaxID+4) + 256
 
 type file struct {
 	Form    string   `json:"form"`
@@ -45,8 +45,8 @@
 		return nil, fmt.Errorf("%w: version %d, this build reads %d", ErrFile, f.Version, FileVersion)
 	case f.Sum != sum(f.Held):
 		return nil, fmt.Errorf("%w: field sum: %d, the ids sum to %d", ErrFile, f.Sum, sum(f.Held))
-	case len(f.Held) > MaxHeld:
-		return nil, fmt.Errorf("%w: field held: %d ids, over %d", ErrFile, len(f.Held), MaxHeld)
+	case len(f.Held) > MaxSuspended:
+		return nil, fmt.Errorf("%w: field held: %d ids, over %d", ErrFile, len(f.Held), MaxSuspended)
 	}
 	for i, id := range f.Held {
 		if !ValidID(id) {
--- a/internal/maint/maint.go
+++ b/internal/ops/maintenance/maintenance.go
@@ -1,10 +1,10 @@
-// Package maint decides what the operators' calls change: which leafs are held out of service (a ban, from
+// Package maintenance decides what the operators' calls change: which leafs are held out of service (a ban, from
 // suspend to resume), whether the aggregator sends its clients away (from drain to activate), and what each
 // call is answered. It does no I/O and reads no clock: times are the caller's, in ms.
 //
 // A ban is a fact of the aggregator, not of one process: it is kept in a file beside the process (see
 // Encode and Decode) that every process of the aggregator reads, so that it holds across an upgrade.
-package maint
+package maintenance
 
 import (
 	"errors"
@@ -14,8 +14,8 @@
 
 // Bounds of the tables.
 const (
-	// MaxHeld is how many leafs may be held out at once; a suspend beyond it is answered no.
-	MaxHeld = 1024
+	// MaxSuspended is how many leafs may be held out at once; a suspend beyond it is answered no.
+	MaxSuspended = 1024
 	// MaxSeen is how many ids of leafs that were listed are remembered, to tell a leaf that is away for a
 	// while from an id that never was; beyond it the oldest is forgotten, and counted.
 	MaxSeen = 16384
@@ -38,24 +38,26 @@
 	yes       = Verdict{Status: 200, Reason: "done"}
 	yesAgain  = Verdict{Status: 200, Reason: "so already"}
 	notListed = Verdict{Status: 404, Reason: "no leaf of that id was ever listed"}
-	full      = Verdict{Status: 507, Reason: fmt.Sprintf("%d leafs are held out already", MaxHeld)}
+	full      = Verdict{Status: 507, Reason: fmt.Sprintf("%d leafs are held out already", MaxSuspended)}
 	badID     = Verdict{Status: 400,
 		Reason: "a leaf id is 1 to 256 bytes of letters, digits, '-', '_', '.' and ':'"}
 )
 
-// Bans are the leafs held out of service, and the ids that were ever listed.
-type Bans struct {
+// Suspensions are the leafs held out of service, and the ids that were ever listed.
+type Suspensions struct {
 	held      map[string]struct{}
 	seen      map[string]struct{}
 	order     []string // of seen, oldest first
 	Forgotten uint64   // ids of seen let go at the bound
 }
 
-// NewBans makes empty tables.
-func NewBans() *Bans { return &Bans{held: map[string]struct{}{}, seen: map[string]struct{}{}} }
+// NewSuspensions makes empty tables.
+func NewSuspensions() *Suspensions {
+	return &Suspensions{held: map[string]struct{}{}, seen: map[string]struct{}{}}
+}
 
 // Listed notes that a leaf of that id is or was in the list.
-func (b *Bans) Listed(id string) {
+func (b *Suspensions) Listed(id string) {
 	if _, ok := b.seen[id]; ok || !ValidID(id) {
 		return
 	}
@@ -70,21 +72,21 @@
 }
 
 // Held tells that a leaf is held out: the aggregator sends it nothing new, whatever the list says.
-func (b *Bans) Held(id string) bool {
+func (b *Suspensions) Suspended(id string) bool {
 	_, ok := b.held[id]
 	return ok
 }
 
 // Suspend holds a leaf out. An id that was never listed, and is not held already, is answered no.
-func (b *Bans) Suspend(id string) Verdict {
+func (b *Suspensions) Suspend(id string) Verdict {
 	switch _, seen := b.seen[id]; {
 	case !ValidID(id):
 		return badID
-	case b.Held(id):
+	case b.Suspended(id):
 		return yesAgain
 	case !seen:
 		return notListed
-	case len(b.held) >= MaxHeld:
+	case len(b.held) >= MaxSuspended:
 		return full
 	}
 	b.held[id] = struct{}{}
@@ -93,11 +95,11 @@
 
 // Resume ends the ban of a leaf. A leaf that is listed and not held is answered yes with no change; an id
 // that was never listed, no.
-func (b *Bans) Resume(id string) Verdict {
+func (b *Suspensions) Resume(id string) Verdict {
 	switch _, seen := b.seen[id]; {
 	case !ValidID(id):
 		return badID
-	case b.Held(id):
+	case b.Suspended(id):
 		delete(b.held, id)
 		return Verdict{Status: yes.Status, Reason: yes.Reason, Changed: true}
 	case !seen:
@@ -107,7 +109,7 @@
 }
 
 // IDs are the leafs held out, in order.
-func (b *Bans) IDs() []string {
+func (b *Suspensions) IDs() []string {
 	out := make([]string, 0, len(b.held))
 	for id := range b.held {
 		out = append(out, id)
@@ -119,10 +121,10 @@
 // Take makes the bans those of another process of the aggregator, as its file says; it gives the ids that
 // are held out now and were not, and those that are free now and were held. Ids over the bound are left
 // out, and an id that comes from the file counts as listed, as only a listed one can be held.
-func (b *Bans) Take(ids []string) (added, freed []string) {
+func (b *Suspensions) Take(ids []string) (added, freed []string) {
 	want := map[string]struct{}{}
 	for _, id := range ids {
-		if ValidID(id) && len(want) < MaxHeld {
+		if ValidID(id) && len(want) < MaxSuspended {
 			want[id] = struct{}{}
 		}
 	}
--- a/internal/maint/maint_test.go
+++ b/internal/ops/maintenance/maintenance_test.go
@@ -1,4 +1,4 @@
-package maint
+package maintenance
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 )
 
 func TestSuspendResume(t *testing.T) {
-	b := NewBans()
+	b := NewSuspensions()
 	b.Listed("s-1")
 	b.Listed("s-2")
 	for _, c := range []struct {
@@ -39,29 +39,29 @@
 }
 
 func TestBounds(t *testing.T) {
-	b := NewBans()
-	for i := range MaxHeld + 1 {
+	b := NewSuspensions()
+	for i := range MaxSuspended + 1 {
 		b.Listed(fmt.Sprint("s-", i))
 	}
-	for i := range MaxHeld {
+	for i := range MaxSuspended {
 		require.True(t, b.Suspend(fmt.Sprint("s-", i)).Yes())
 	}
-	v := b.Suspend(fmt.Sprint("s-", MaxHeld))
+	v := b.Suspend(fmt.Sprint("s-", MaxSuspended))
 	assert.Equal(t, 507, v.Status, "over the bound of held leafs")
 	assert.True(t, b.Suspend("s-0").Yes(), "one held already is still a yes")
 
 	for i := range MaxSeen + 10 {
 		b.Listed(fmt.Sprint("t-", i))
 	}
-	assert.Equal(t, uint64(MaxHeld+1+10), b.Forgotten, "the oldest ids are let go, and counted")
+	assert.Equal(t, uint64(MaxSuspended+1+10), b.Forgotten, "the oldest ids are let go, and counted")
 	assert.Len(t, b.seen, MaxSeen)
-	assert.True(t, b.Held("s-0"), "what is held is not forgotten with the ids")
+	assert.True(t, b.Suspended("s-0"), "what is held is not forgotten with the ids")
 	assert.True(t, b.Resume("s-0").Yes(), "a held leaf can be resumed when its id is forgotten")
 	assert.False(t, ValidID(string(make([]byte, MaxID+1))))
 }
 
 func TestTake(t *testing.T) {
-	b := NewBans()
+	b := NewSuspensions()
 	b.Listed("a")
 	b.Listed("b")
 	b.Suspend("a")
