--- a/internal/clients/server.go
+++ b/internal/clients/server.go
@@ -221,8 +221,11 @@
 // connections, and those that clients have are served.
 func (s *Server) SendAway(on bool) { s.away = on }
 
+// Able tells whether the program could serve: it knows what it has to, and does not end.
+func (s *Server) Able() bool { return s.ready() && !s.draining }
+
 // Healthy is what health says.
-func (s *Server) Healthy() bool { return s.ready() && !s.draining && !s.away }
+func (s *Server) Healthy() bool { return s.Able() && !s.away }
 
 // CloseKept makes every answer from now on the last of its connection, or ends that; the listener stays.
 func (s *Server) CloseKept(on bool) { s.closing = on }
--- a/internal/ops/control/control.go
+++ b/internal/ops/control/control.go
@@ -1,6 +1,7 @@
-// Package control carries out the operators' calls on the loop: it asks maintenance what a call changes, keeps the
-// held leafs in a file that every process of the aggregator shares, has the module hear of what is held
-// as it hears of the list, and has the front send clients away. It implements adminapi.Calls.
+// Package control carries out the operators' calls on the loop: it asks maintenance what a call changes,
+// keeps the suspended backends and a drain in files that every process of the aggregator shares, has the
+// module hear of what is suspended as it hears of the list, and has the front send clients away. It
+// implements adminapi.Calls.
 package control
 
 import (
@@ -38,6 +39,7 @@
 // Front is the clients' front as sending them away needs it.
 type Front interface {
 	Healthy() bool
+	Able() bool // it could serve: a list is known and the program does not end
 	SendAway(on bool)
 	CloseKept(on bool)
 	EndIdle()
@@ -45,20 +47,24 @@
 
 // Control carries out the operators' calls.
 type Control struct {
-	loop     *loop.Loop
-	log      *logs.Log
-	bans     *maintenance.Suspensions
-	drain    maintenance.Drain
-	phase    maintenance.Phase
-	list     List
-	members  Members
-	front    Front
-	path     string
-	stamp    stamp // of the file as last read or written
-	bad      stamp // of a file that could not be used, logged once
-	timer    *loop.Timer
-	stopping bool
-	hand     *Hand // nil where no other process takes over
+	loop      *loop.Loop
+	log       *logs.Log
+	bans      *maintenance.Suspensions
+	drain     maintenance.Drain
+	phase     maintenance.Phase
+	list      List
+	members   Members
+	front     Front
+	path      string
+	stamp     stamp // of the file as last read or written
+	bad       stamp // of a file that could not be used, logged once
+	timer     *loop.Timer
+	stopping  bool
+	drainBy   string // file of the drain
+	drainOff  bool   // the file could not be read, logged once
+	drainHere bool   // the file could not be written: the drain holds in this process alone
+	found     bool   // the drain that holds was found at the start: another process was told
+	hand      *Hand  // nil where no other process takes over
 }
 
 // Hand is what a hand-over of cold sends between the processes of an aggregator needs.
@@ -92,10 +98,13 @@
 // New makes the control and reads the file of held leafs at path, if there is one. A file that cannot be
 // used is logged and taken for none: it does not stop a start.
 func New(l *loop.Loop, log *logs.Log, path string, members Members, list List, front Front) *Control {
-	u := &Control{loop: l, log: log, bans: maintenance.NewSuspensions(), list: list, members: members, front: front,
-		path: path}
+	u := &Control{loop: l, log: log, bans: maintenance.NewSuspensions(), list: list, members: members,
+		front: front, path: path, drainBy: path + ".drain"}
 	u.timer = l.NewTimer(u.tick)
 	u.look()
+	u.lookDrain()
+	u.found = u.drain.Since() > 0
+	u.follow()
 	return u
 }
 
@@ -115,7 +124,7 @@
 	if h := u.hand; h != nil {
 		h.taken = true // what it writes now is its successor's, not its own
 		sent := h.Core.HandOver()
-		err := writeFile(h.Path, handover.Encode(float64(time.Now().UnixMicro())/1000, sent))
+		err := writeFile(h.Path, handover.Encode(unixNow(), sent))
 		u.log.Info("cold sends handed over", zap.Int("sent", len(sent)), zap.Error(err))
 	}
 }
@@ -142,7 +151,7 @@
 	if h.record == nil {
 		return
 	}
-	now := float64(time.Now().UnixMicro()) / 1000
+	now := unixNow()
 	switch handover.Judge(*h.record, now, h.Started, h.Window, h.Known) {
 	case handover.Ignore:
 		h.record = nil
@@ -154,8 +163,11 @@
 	}
 }
 
-// Ready implements adminapi.Calls.
-func (u *Control) Ready() bool { return !u.stopping && u.front.Healthy() }
+// Ready implements adminapi.Calls. A drain that was found at the start does not stop this process from taking
+// over from the one that was told; health says no all the same.
+func (u *Control) Ready() bool {
+	return !u.stopping && (u.front.Healthy() || u.found && u.drain.Since() > 0 && u.front.Able())
+}
 
 // Suspend implements adminapi.Calls.
 func (u *Control) Suspend(id string) maintenance.Verdict { return u.change(id, u.bans.Suspend) }
@@ -164,7 +176,13 @@
 func (u *Control) Resume(id string) maintenance.Verdict { return u.change(id, u.bans.Resume) }
 
 func (u *Control) change(id string, do func(string) maintenance.Verdict) maintenance.Verdict {
-	u.look() // what another process wrote comes first
+	free, err := lock(u.path)
+	if errors.Is(err, errLocked) {
+		u.log.Warn("held leafs not changed", zap.String("file", u.path), zap.Error(err))
+		return maintenance.Verdict{Status: 500, Reason: "nothing is changed: " + err.Error()}
+	}
+	defer free() // without a lock file there will be no file either, and the answer says so
+	u.look()     // what another process wrote comes first
 	v := do(id)
 	if !v.Changed {
 		return v
@@ -173,26 +191,66 @@
 	if err := u.write(); err != nil {
 		// It holds in this process, but would not hold in the next: a no, so that the call is made again.
 		u.log.Warn("held leafs not kept", zap.String("file", u.path), zap.Error(err))
-		return maintenance.Verdict{Status: 500, Reason: "so here, but not kept for the next process: " + err.Error(),
-			Changed: true}
+		return maintenance.Verdict{Status: 500, Changed: true,
+			Reason: "so here, but not kept for the next process: " + err.Error()}
 	}
 	return v
 }
 
 // Drain implements adminapi.Calls.
 func (u *Control) Drain() maintenance.Verdict {
+	u.lookDrain()
 	v := u.drain.Drain(u.loop.Now())
 	u.follow()
+	if !v.Changed {
+		return v
+	}
+	err := writeFile(u.drainBy, maintenance.EncodeDrain(unixNow()))
+	u.drainHere = err != nil
+	return u.kept(v, err)
+}
+
+// kept is the answer to a call whose change holds here, by whether it is kept for the other processes.
+func (u *Control) kept(v maintenance.Verdict, err error) maintenance.Verdict {
+	if err == nil {
+		return v
+	}
+	u.log.Warn("drain not kept", zap.String("file", u.drainBy), zap.Error(err))
+	v.Status, v.Reason = 500, "so here, but not kept for the next process: "+err.Error()
 	return v
 }
 
 // Activate implements adminapi.Calls.
 func (u *Control) Activate() maintenance.Verdict {
+	u.lookDrain()
 	v := u.drain.Activate()
 	u.follow()
-	return v
+	err := os.Remove(u.drainBy) // also one that could not be read, or was left behind
+	if errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+	return u.kept(v, err)
 }
 
+// lookDrain takes the drain of the aggregator's other processes: there is a file while one holds.
+func (u *Control) lookDrain() {
+	now := unixNow()
+	since, on, err := readDrain(u.drainBy, now)
+	if err != nil && !u.drainOff {
+		u.log.Warn("drain not read: it holds from now on", zap.String("file", u.drainBy), zap.Error(err))
+	}
+	u.drainOff = err != nil
+	switch holds := u.drain.Since() > 0; {
+	case on && !holds:
+		u.drain.Drain(u.loop.Now() - (now - since))
+	case !on && holds && !u.drainHere:
+		u.drain.Activate()
+	}
+}
+
+// unixNow is the wall clock in Unix ms.
+func unixNow() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
 // follow has the front do what the phase of a drain asks.
 func (u *Control) follow() {
 	p := u.drain.Phase(u.loop.Now())
@@ -211,6 +269,7 @@
 func (u *Control) tick() {
 	u.look()
 	u.lookHand()
+	u.lookDrain()
 	u.follow()
 	u.timer.Set(u.loop.Now() + Look)
 }
--- a/internal/ops/control/control_test.go
+++ b/internal/ops/control/control_test.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -28,6 +31,7 @@
 	p.heard = append(p.heard, es...)
 }
 func (p *process) Healthy() bool     { return !p.away }
+func (p *process) Able() bool        { return true }
 func (p *process) SendAway(on bool)  { p.away = on }
 func (p *process) CloseKept(on bool) { p.kept = on }
 func (p *process) EndIdle()          { p.idle++ }
@@ -129,3 +133,99 @@
 	p.Stop()
 	assert.False(t, p.Ready(), "a process that ends is not ready")
 }
+
+// TestTwoWriters: two processes change the file at once, each many times, by turns of the scheduler. Every call that
+// was said yes to holds at a process that starts afterwards; without the lock some of them are lost.
+func TestTwoWriters(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "held.json")
+	const each = 200
+	var done sync.WaitGroup
+	said := make([]map[string]bool, 2)
+	for w := range said {
+		p := start(t, path)
+		said[w] = map[string]bool{}
+		for i := range each {
+			p.Suspensions().Listed(fmt.Sprintf("s-%d-%d", w, i))
+		}
+		done.Go(func() {
+			for i := range each {
+				id := fmt.Sprintf("s-%d-%d", w, i)
+				for !p.Suspend(id).Yes() { // the other was within its change all the while: the call is made again
+				}
+				said[w][id] = true
+				if i%3 == 0 {
+					for !p.Resume(id).Yes() {
+					}
+					said[w][id] = false
+				}
+			}
+		})
+	}
+	done.Wait()
+	next := start(t, path)
+	for w := range said {
+		for id, held := range said[w] {
+			assert.Equal(t, held, next.Suspensions().Suspended(id), id)
+		}
+	}
+}
+
+// TestLockedIsNo: another process was stopped within its change. A call is answered no within 50 ms and has changed
+// nothing, here or in the file; once the other is gone the same call is a yes.
+func TestLockedIsNo(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "held.json")
+	p := start(t, path)
+	p.Suspensions().Listed("s-1")
+	free, err := lock(path)
+	require.NoError(t, err)
+	at := time.Now()
+	v := p.Suspend("s-1")
+	assert.Less(t, time.Since(at), 50*time.Millisecond)
+	assert.Equal(t, 500, v.Status)
+	assert.Contains(t, v.Reason, "nothing is changed")
+	assert.False(t, p.Suspensions().Suspended("s-1"))
+	assert.Empty(t, p.heard)
+	free()
+	assert.Equal(t, 200, p.Suspend("s-1").Status)
+}
+
+// TestDrainIsTheAggregators: a drain told to one process holds at the other and at one that starts later, from the moment
+// it was told; the latter is ready to take over while health says no; activate at any of them ends it at all. What is
+// torn holds until then, and is said in the log.
+func TestDrainIsTheAggregators(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "held.json")
+	a, b := start(t, path), start(t, path)
+	require.Equal(t, 200, a.Drain().Status)
+	time.Sleep(30 * time.Millisecond)
+	b.lookDrain()
+	b.follow()
+	assert.True(t, b.away)
+	assert.False(t, b.Ready(), "one that served before the drain is not ready")
+	c := start(t, path)
+	assert.True(t, c.away, "health says no from the start")
+	assert.True(t, c.Ready(), "and it may take over")
+	assert.LessOrEqual(t, c.drain.Since(), c.loop.Now()-25, "since the call, not since its start")
+
+	require.Equal(t, 200, c.Activate().Status)
+	assert.False(t, c.away)
+	for _, p := range []*process{a, b} {
+		p.lookDrain()
+		p.follow()
+		assert.False(t, p.away)
+		assert.True(t, p.Ready())
+	}
+	assert.Equal(t, "so already", a.Activate().Reason)
+
+	require.NoError(t, os.WriteFile(path+".drain", []byte(`{"form":"ternstage dr`), 0o600))
+	d := start(t, path)
+	assert.True(t, d.away)
+	require.Equal(t, 200, d.Activate().Status)
+	assert.False(t, start(t, path).away)
+	assert.Contains(t, d.logged(t), "drain not read")
+
+	gone := start(t, filepath.Join(t.TempDir(), "no such folder", "held.json"))
+	assert.Equal(t, 500, gone.Drain().Status, "not kept for the next process is a no")
+	gone.lookDrain()
+	gone.follow()
+	assert.True(t, gone.away, "but it holds here")
+}
