--- a/cmd/ternstage/main.go
+++ b/cmd/ternstage/main.go
@@ -14,13 +14,20 @@
 )
 
 func main() {
-	if err := command().Execute(); err != nil {
+	if c, err := command().ExecuteC(); err != nil {
+		code := exitError(1)
+		if errors.As(err, &code) {
+			os.Exit(int(code))
+		}
 		fmt.Fprintln(os.Stderr, "ternstage:", err)
 		if errors.Is(err, config.ErrNone) {
 			fmt.Fprintln(os.Stderr,
 				"To try it on an emulated fleet: make try. To serve: BALANCER_CONFIG=FILE ternstage")
 		}
-		os.Exit(1)
+		if c.Name() == "admin" || c.HasParent() && c.Parent().Name() == "admin" {
+			code = exitUsage
+		}
+		os.Exit(int(code))
 	}
 }
 
@@ -44,7 +51,8 @@
 			RunE: func(c *cobra.Command, _ []string) error {
 				c.Println("ternstage", version())
 				return nil
-			}})
+			}},
+		adminCommand())
 	root.SetOut(os.Stdout)
 	return root
 }
