--- a/balance/handover.go
+++ b/balance/handover.go
@@ -25,6 +25,11 @@
 	return out
 }
 
+// Shares tells that another process of the same aggregator serves beside this one, which has not handed over:
+// what it sends to cold replicas is not known here and counts all the same, so that none is used until it has
+// handed over, or a window after it was last told of.
+func (b *Balancer) Shares(now float64) { b.born = now }
+
 // TakeOver counts what the process that hands over sent to cold replicas, ago ms before now, as sent by
 // this one, and ends the wait of the first window after a start: that process sends them nothing more.
 // Replicas that this process does not know are not waited for either; what was sent to them is dropped.
--- a/balance/handover_test.go
+++ b/balance/handover_test.go
@@ -64,11 +64,13 @@
 }
 
 // windowMost is the most parts sent to replica 1 within any window of that many ms.
-func windowMost(sends []*rigSend, window float64) (most int) {
+func windowMost(sends []*rigSend, window float64) int { return windowMostTo(sends, 1, window) }
+
+func windowMostTo(sends []*rigSend, to uint32, window float64) (most int) {
 	for _, a := range sends {
 		n := 0
 		for _, b := range sends {
-			if a.replica == 1 && b.replica == 1 && b.at >= a.at && b.at < a.at+window {
+			if a.replica == to && b.replica == to && b.at >= a.at && b.at < a.at+window {
 				n++
 			}
 		}
@@ -76,3 +78,100 @@
 	}
 	return most
 }
+
+// TestProcessesSideBySideKeepOneShare: a replica is suspended at two processes of one aggregator, restarts meanwhile and is
+// resumed while cold. As long as the new process is told that the old one serves beside it, the two send it in no window more
+// than one alone would; it is used within 5 s; and once the old one is gone, or has handed over, by the new one.
+func TestProcessesSideBySideKeepOneShare(t *testing.T) {
+	for _, handed := range []bool{false, true} {
+		s := settings()
+		s.Cells, s.Shards, s.Reach = 1, 1, 1
+		drive := func(ms float64, sharing bool, gs ...*rig) {
+			for range int(ms / 50) {
+				for i, g := range gs {
+					if sharing && i == 1 {
+						g.b.Shares(g.now)
+					}
+					for range 6 {
+						g.query(0, 0)
+					}
+					g.turn()
+					g.pass(50, g.after(100))
+				}
+			}
+		}
+		list := func(state State, start float64, gs ...*rig) {
+			for _, g := range gs {
+				g.list(ListFull, Entry{Replica: 1, State: state, ReadyAt: start}, Entry{Replica: 2, State: Ready})
+			}
+		}
+		alone, old, next := newRig(t, s), newRig(t, s), newRig(t, s)
+		list(Ready, 0, alone, old)
+		drive(2000, false, alone)
+		drive(2000, false, old)
+		next.now = old.now
+		list(Draining, 0, alone, old, next) // suspended at both
+		drive(3000, false, alone)
+		drive(3000, true, old, next)
+		start := old.now - 500 // it has restarted
+		list(Ready, start, alone, old, next)
+		for _, g := range []*rig{alone, old, next} {
+			g.sends = nil
+		}
+		drive(4000, false, alone)
+		drive(4000, true, old, next)
+		most, got := windowMost(alone.sends, s.FallFor), windowMost(append(old.sends, next.sends...), s.FallFor)
+		if got > most || got == 0 {
+			t.Fatalf("%d parts in a window to the cold replica from both, one process alone gives %d", got, most)
+		}
+		if handed {
+			next.b.TakeOver(next.now, old.b.HandOver(old.now))
+		}
+		next.sends = nil
+		drive(2*s.FallFor, false, next)
+		if windowMost(next.sends, s.FallFor) == 0 {
+			t.Fatalf("the new process does not use the replica, handed over %v", handed)
+		}
+	}
+}
+
+// TestAllReplicasOfASetSuspended: a query for a set whose replicas are all suspended is refused at once with advice, others are
+// served; with one of the last two back and cold it is served within the cold share, and nothing goes to the other.
+func TestAllReplicasOfASetSuspended(t *testing.T) {
+	s := settings()
+	s.Shards, s.Cells, s.Reach = 6, 6, 2
+	g := newRig(t, s)
+	g.fleet(ListFull)
+	g.warm()
+	g.list(ListDelta, Entry{Replica: 1, Cell: 0, State: Draining}, Entry{Replica: 2, Cell: 1, State: Draining})
+	g.pass(s.DrainGrace+100, g.after(40))
+	g.sends = nil
+	gone, whole := g.query(0, 0), g.query(0, 3)
+	g.turn()
+	if gone.how != "refuse" || g.refused[gone.q.ID] <= 0 {
+		t.Fatalf("a query without a replica ended as %q, to come back after %v", gone.how, g.refused[gone.q.ID])
+	}
+	g.pass(200, g.after(40))
+	if whole.how != "answer" {
+		t.Fatalf("a query elsewhere ended as %q", whole.how)
+	}
+	g.list(ListDelta, Entry{Replica: 2, Cell: 1, State: Ready, ReadyAt: g.now - 200})
+	served := 0
+	for range 100 {
+		q := g.query(0, 0)
+		g.turn()
+		g.pass(50, g.after(40))
+		if q.how == "answer" {
+			served++
+		}
+	}
+	for _, a := range g.sends {
+		if a.replica == 1 {
+			t.Fatal("a suspended replica was sent to")
+		}
+	}
+	most := s.FallMultiple * s.FallFor * (s.ColdFrom + 5000/s.ColdFor) / 100 // parts of 100 ms, as it is 5 s on
+	if got := windowMostTo(g.sends, 2, s.FallFor); served == 0 || float64(got) > most {
+		t.Fatalf("%d served by the cold one, %d in a window, %v allowed", served, got, most)
+	}
+}
--- a/cmd/ternstage/serve.go
+++ b/cmd/ternstage/serve.go
@@ -124,7 +124,7 @@
 		nodes.SuspendBy(ops.Suspensions())
 		if cfg.Inherited > 0 {
 			ops.HandOverBy(&control.Hand{Path: filepath.Join(os.TempDir(), handFile), Window: cfg.Module.FallFor,
-				Started: float64(started.UnixMicro()) / 1000, Core: c,
+				Started: float64(started.UnixMicro()) / 1000, Peers: cfg.Module.Peers, Core: c,
 				Known: func(x uint32) bool { return nodes.Address(x) != "" }})
 		}
 		d, err := adminapi.Listen(l, ops, log, cfg.Mgmt)
--- a/internal/core/moving.go
+++ b/internal/core/moving.go
@@ -309,3 +309,6 @@
 // TakeOver counts what the process that handed over sent to cold replicas, and ends the wait of the first
 // window after a start (see balance.Balancer.TakeOver).
 func (c *Core) TakeOver(sent []balance.Sent) { c.module.TakeOver(c.clock.Now(), sent) }
+
+// Shares tells that another process of the aggregator serves beside this one (see balance.Balancer.Shares).
+func (c *Core) Shares() { c.module.Shares(c.clock.Now()) }
--- a/internal/ops/control/control.go
+++ b/internal/ops/control/control.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"ternstage/balance"
 	"ternstage/internal/logs"
@@ -72,20 +73,25 @@
 	Path    string  // of the record, beside the held leafs
 	Window  float64 // ms: of the allowance of cold leafs
 	Started float64 // Unix ms: when this process started
+	Peers   int     // of the settings
 	Core    interface {
 		HandOver() []balance.Sent
 		TakeOver(sent []balance.Sent)
+		Shares()
 	}
 	Known func(replica uint32) bool // the leaf is listed here
 
 	stamp, bad stamp
 	record     *handover.Record // read, and waited on
+	waited     bool             // that has had its line
 	taken      bool
+	serving    int  // descriptor whose lock the process that serves holds; -1 until it is opened
+	alone      bool // the lock is ours: no other process serves that has not handed over
 }
 
 // HandOverBy has the control hand cold sends over at Stop, and take them over from the process before.
 func (u *Control) HandOverBy(h *Hand) {
-	u.hand = h
+	u.hand, h.serving = h, -1
 	u.lookHand()
 }
 
@@ -124,7 +130,7 @@
 	if h := u.hand; h != nil {
 		h.taken = true // what it writes now is its successor's, not its own
 		sent := h.Core.HandOver()
-		err := writeFile(h.Path, handover.Encode(unixNow(), sent))
+		err := writeFile(h.Path, handover.Encode(unixNow(), h.Peers, sent))
 		u.log.Info("cold sends handed over", zap.Int("sent", len(sent)), zap.Error(err))
 	}
 }
@@ -132,7 +138,10 @@
 // lookHand reads the record of the process before, if it has changed, and takes it over when it may.
 func (u *Control) lookHand() {
 	h := u.hand
-	if h == nil || h.taken {
+	if h == nil || u.stopping {
+		return
+	}
+	if u.lookBeside(h); h.taken {
 		return
 	}
 	if fi, err := os.Stat(h.Path); err == nil && stampOf(fi) != h.stamp && stampOf(fi) != h.bad {
@@ -152,9 +161,22 @@
 		return
 	}
 	now := unixNow()
-	switch handover.Judge(*h.record, now, h.Started, h.Window, h.Known) {
+	not := func(why string) {
+		u.log.Warn("cold sends not taken over", zap.String("file", h.Path), zap.String("reason", why),
+			zap.Float64("age_ms", now-h.record.Written))
+	}
+	switch handover.Judge(*h.record, now, h.Started, h.Window, h.Peers, h.Known) {
 	case handover.Ignore:
+		not("written before this process started")
+		h.record = nil
+	case handover.Foreign:
+		not("of a process that was told of another number of peers")
 		h.record = nil
+	case handover.Wait:
+		if !h.waited {
+			not("it names leafs that are not listed here yet")
+		}
+		h.waited = true
 	case handover.Take:
 		sent := handover.Aged(*h.record, now, h.Window)
 		h.Core.TakeOver(sent)
@@ -163,6 +185,29 @@
 	}
 }
 
+// lookBeside has the module send nothing to cold leafs while another process of the aggregator serves beside
+// this one and has not handed over: each would use the whole share. The one that serves holds a lock, which
+// the kernel frees when it ends, however it does. Where there can be no such file nothing is known, and the
+// wait of the first window after a start has to do.
+func (u *Control) lookBeside(h *Hand) {
+	if h.alone {
+		return
+	}
+	if h.serving < 0 {
+		path := h.Path + ".serving"
+		fd, err := unix.Open(path, unix.O_RDWR|unix.O_CREAT|unix.O_CLOEXEC, 0o600)
+		if err != nil {
+			u.log.Warn("whether another process serves is not known", zap.String("file", path), zap.Error(err))
+			h.alone = true
+			return
+		}
+		h.serving = fd
+	}
+	if h.alone = unix.Flock(h.serving, unix.LOCK_EX|unix.LOCK_NB) == nil; !h.alone && !h.taken {
+		h.Core.Shares()
+	}
+}
+
 // Ready implements adminapi.Calls. A drain that was found at the start does not stop this process from taking
 // over from the one that was told; health says no all the same.
 func (u *Control) Ready() bool {
--- a/internal/ops/control/control_test.go
+++ b/internal/ops/control/control_test.go
@@ -4,16 +4,19 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"ternstage/balance"
 	"ternstage/internal/logs"
 	"ternstage/internal/loop"
+	"ternstage/internal/ops/handover"
 	"ternstage/internal/ops/maintenance"
 )
 
@@ -229,3 +232,83 @@
 	gone.follow()
 	assert.True(t, gone.away, "but it holds here")
 }
+
+// sides notes what the module is told of the other process.
+type sides struct {
+	shares, took int
+	sent         []balance.Sent
+}
+
+func (s *sides) HandOver() []balance.Sent   { return s.sent }
+func (s *sides) TakeOver(in []balance.Sent) { s.took++ }
+func (s *sides) Shares()                    { s.shares++ }
+
+func (p *process) beside(path string, peers int, known bool) *sides {
+	s := &sides{sent: []balance.Sent{{Replica: 7, Ago: 1, Work: 10}}}
+	p.HandOverBy(&Hand{Path: path, Window: 60_000, Started: unixNow(), Peers: peers, Core: s,
+		Known: func(uint32) bool { return known }})
+	return s
+}
+
+// TestTheOtherStillServes: while the old process serves, the new one's module is told at each look that the share of cold
+// leafs is another's too; it ends with the hand-over. One that was killed frees it as well, and a third that starts
+// beside the second is told of that one.
+func TestTheOtherStillServes(t *testing.T) {
+	dir := t.TempDir()
+	path, hand := filepath.Join(dir, "held.json"), filepath.Join(dir, "cold.json")
+	old, next := start(t, path), start(t, path)
+	a, b := old.beside(hand, 2, true), next.beside(hand, 2, true)
+	assert.Zero(t, a.shares, "nobody serves beside the first")
+	for range 3 {
+		next.lookHand()
+	}
+	assert.Equal(t, 4, b.shares)
+	old.Stop()
+	next.lookHand()
+	assert.Equal(t, 1, b.took)
+	shares := b.shares
+	next.lookHand()
+	assert.Equal(t, shares, b.shares, "what it took over says what the other sent")
+
+	require.NoError(t, unix.Close(old.hand.serving)) // it has ended
+	next.lookHand()
+	assert.True(t, next.hand.alone)
+	third := start(t, path)
+	c := third.beside(hand, 2, true)
+	assert.Positive(t, c.shares)
+	require.NoError(t, unix.Close(next.hand.serving)) // killed
+	third.lookHand()
+	shares = c.shares
+	third.lookHand()
+	assert.Equal(t, shares, c.shares)
+	assert.Zero(t, c.took)
+}
+
+// TestRecordsNotTaken: a record that is torn, old, of another version, of a process with other peers, or full of leafs that
+// are not known here is not taken: the start is cold, and the log says why.
+func TestRecordsNotTaken(t *testing.T) {
+	sent := []balance.Sent{{Replica: 7, Ago: 1, Work: 10}}
+	for says, c := range map[string]struct {
+		text  []byte
+		known bool
+	}{
+		"torn or not JSON":                    {handover.Encode(unixNow()+5000, 2, sent)[:30], true},
+		"written before this process started": {handover.Encode(unixNow()-10_000, 2, sent), true},
+		"version 9":                           {[]byte(`{"form":"ternstage cold sent","version":9,"sent":[],"sum":0}`), true},
+		"another number of peers":             {handover.Encode(unixNow()+5000, 3, sent), true},
+		"leafs that are not listed here":      {handover.Encode(unixNow()+5000, 2, sent), false},
+		"field sum":                           {[]byte(`{"form":"ternstage cold sent","version":1,"sent":[],"sum":9}`), true},
+	} {
+		dir := t.TempDir()
+		hand := filepath.Join(dir, "cold.json")
+		require.NoError(t, os.WriteFile(hand, c.text, 0o600))
+		p := start(t, filepath.Join(dir, "held.json"))
+		s := p.beside(hand, 2, c.known)
+		p.lookHand()
+		p.lookHand()
+		assert.Zero(t, s.took, says)
+		text := p.logged(t)
+		assert.Contains(t, text, says)
+		assert.Equal(t, 1, strings.Count(text, "cold sends not taken over"), says)
+	}
+}
--- a/internal/ops/handover/handover.go
+++ b/internal/ops/handover/handover.go
@@ -25,6 +25,7 @@
 	Form    string         `json:"form"`
 	Version int            `json:"version"`
 	Written float64        `json:"written_unix_ms"` // when it handed over
+	Peers   int            `json:"peers,omitempty"` // of the settings it ran with; 0 is not known
 	Sent    []balance.Sent `json:"sent"`
 	Sum     uint32         `json:"sum"` // CRC-32 of the sends as JSON
 }
@@ -34,9 +35,10 @@
 // ErrRecord wraps what is wrong with a record.
 var ErrRecord = errors.New("record of cold sends")
 
-// Encode writes a record of a hand-over at written (Unix ms).
-func Encode(written float64, sent []balance.Sent) []byte {
-	text, _ := json.Marshal(Record{Form: form, Version: Version, Written: written, Sent: sent, Sum: sum(sent)})
+// Encode writes a record of a hand-over at written (Unix ms) by a process told of so many peers.
+func Encode(written float64, peers int, sent []balance.Sent) []byte {
+	text, _ := json.Marshal(Record{Form: form, Version: Version, Written: written, Peers: peers, Sent: sent,
+		Sum: sum(sent)})
 	return append(text, '\n')
 }
 
@@ -65,19 +67,24 @@
 
 // The verdicts.
 const (
-	Ignore Verdict = iota // not of the process it takes over from: written before this one started
-	Wait                  // of it, but it names leafs that this process does not know yet
-	Take                  // take it now
+	Ignore  Verdict = iota // not of the process it takes over from: written before this one started
+	Foreign                // that process was told of another number of peers: its shares were others
+	Wait                   // of it, but it names leafs that this process does not know yet
+	Take                   // take it now
 )
 
 // Judge decides on a record, read at now (Unix ms) by a process that started at started (Unix ms), whose
 // cold allowance has a window of window ms. A record written before the start is an earlier hand-over, whose
-// writer is gone while the one that serves beside this process still sends. One that names leafs not yet
-// known is waited for, until what it says of them is older than the window and so no longer counts.
-func Judge(r Record, now, started, window float64, known func(replica uint32) bool) Verdict {
+// writer is gone while the one that serves beside this process still sends. One of a process with another
+// number of peers is not taken: the settings have changed. One that names leafs not yet known is waited for,
+// until what it says of them is older than the window and so no longer counts.
+func Judge(r Record, now, started, window float64, peers int, known func(replica uint32) bool) Verdict {
 	if r.Written < started {
 		return Ignore
 	}
+	if r.Peers != 0 && peers != 0 && r.Peers != peers {
+		return Foreign
+	}
 	if now-r.Written >= window {
 		return Take
 	}
--- a/internal/ops/handover/handover_test.go
+++ b/internal/ops/handover/handover_test.go
@@ -11,11 +11,12 @@
 
 func TestRecord(t *testing.T) {
 	sent := []balance.Sent{{Replica: 7, Ago: 100, Work: 40}, {Replica: 9, Ago: 1400, Work: 80}}
-	text := Encode(1e12, sent)
+	text := Encode(1e12, 8, sent)
 	r, err := Decode(text)
 	require.NoError(t, err)
 	assert.Equal(t, sent, r.Sent)
 	assert.Equal(t, 1e12, r.Written)
+	assert.Equal(t, 8, r.Peers)
 	for n := range len(text) - 1 {
 		_, err := Decode(text[:n])
 		assert.ErrorIs(t, err, ErrRecord, "torn at %d", n)
@@ -34,11 +35,14 @@
 func TestJudge(t *testing.T) {
 	known := func(x uint32) bool { return x != 9 }
 	r := Record{Written: 10_000, Sent: []balance.Sent{{Replica: 7, Ago: 100, Work: 40}}}
-	assert.Equal(t, Ignore, Judge(r, 10_100, 10_001, 1500, known), "an earlier hand-over is not of this one")
-	assert.Equal(t, Take, Judge(r, 10_100, 9_000, 1500, known))
+	assert.Equal(t, Ignore, Judge(r, 10_100, 10_001, 1500, 2, known), "an earlier hand-over is not of this one")
+	assert.Equal(t, Take, Judge(r, 10_100, 9_000, 1500, 2, known))
+	r.Peers = 3
+	assert.Equal(t, Foreign, Judge(r, 10_100, 9_000, 1500, 2, known), "told of another number of peers")
+	assert.Equal(t, Take, Judge(r, 10_100, 9_000, 1500, 3, known))
 	r.Sent = append(r.Sent, balance.Sent{Replica: 9, Ago: 0, Work: 10})
-	assert.Equal(t, Wait, Judge(r, 10_100, 9_000, 1500, known), "a leaf not known yet is waited for")
-	assert.Equal(t, Take, Judge(r, 11_500, 9_000, 1500, known), "until what is said of it no longer counts")
+	assert.Equal(t, Wait, Judge(r, 10_100, 9_000, 1500, 3, known), "a leaf not known yet is waited for")
+	assert.Equal(t, Take, Judge(r, 11_500, 9_000, 1500, 3, known), "until what is said of it no longer counts")
 }
 
 func TestAged(t *testing.T) {
