--- a/internal/fleet/share/needs.go
+++ b/internal/fleet/share/needs.go
@@ -3,10 +3,9 @@
 import "math"
 
 const (
-	needsFirst = 2.0  // x the last part's time, for one of many; less for fewer, who see more in what they hold
+	needsFirst = 2.0  // x the last part's time, at least, for one of many; less for fewer, who hold more
 	needsPoint = 0.35 // quantile: what has less time left than so many queries take is refused
 	needsStep  = 0.3  // of the logarithm: one query moves it by at most so much
-	needsLeast = 0.25
 	needsMost  = 6.0
 	spread     = 0.5 // of a part's time more for each factor e of parts: the last of many takes longest
 )
@@ -20,16 +19,16 @@
 // others are asked again, of those with twice that left one in six is whole; elsewhere three in four. So
 // the factor is learnt, as the quantile needsPoint of what queries took. One that was not whole took longer
 // than it was waited for, which tells something only where that is more than the factor; nothing that was
-// refused counts. So the factor is not biased by what it refuses itself, and no term of it but the first
-// value holds a number of brokers.
-type Needs struct{ factor float64 } // 0 for few brokers: nothing is refused
+// refused counts, so the factor is not biased by what it refuses itself.
+//
+// It goes no lower than needsFirst x (1 - 4/n). What a query of one broker wastes, the queries of all others
+// lack, and none of them sees that: 300 that learnt freely came down to what their own took, and lost.
+type Needs struct{ factor, least float64 } // 0 for few brokers: nothing is refused
 
 // NewNeeds makes what one of n brokers begins with.
 func NewNeeds(n int) Needs {
-	if n <= few {
-		return Needs{}
-	}
-	return Needs{math.Max(needsLeast, needsFirst*NewThrottle(n).weight)}
+	x := needsFirst * NewThrottle(n).weight
+	return Needs{x, x}
 }
 
 // Last is the time, in ms, of the last of so many parts where one takes so long.
@@ -51,5 +50,5 @@
 	case whole && !longer:
 		step = needsPoint - 1
 	}
-	n.factor = math.Min(math.Max(n.factor*math.Exp(needsStep*step), needsLeast), needsMost)
+	n.factor = math.Min(math.Max(n.factor*math.Exp(needsStep*step), n.least), needsMost)
 }
