--- a/internal/fleet/share/needs.go
+++ b/internal/fleet/share/needs.go
@@ -6,8 +6,8 @@
 	needsFirst = 2.0  // x the last part's time, at least, for one of many; less for fewer, who hold more
 	needsPoint = 0.35 // quantile: what has less time left than so many queries take is refused
 	needsStep  = 0.3  // of the logarithm: one query moves it by at most so much
-	needsMost  = 6.0
-	spread     = 0.5 // of a part's time more for each factor e of parts: the last of many takes longest
+	needsMost  = 6.0  // range of the factor, for few
+	spread     = 0.5  // of a part's time more for each factor e of parts: the last of many takes longest
 )
 
 // Needs learns how much time a query has to have left when it comes. A broker with a query a second holds
@@ -23,12 +23,15 @@
 //
 // It goes no lower than needsFirst x (1 - 4/n). What a query of one broker wastes, the queries of all others
 // lack, and none of them sees that: 300 that learnt freely came down to what their own took, and lost.
-type Needs struct{ factor, least float64 } // 0 for few brokers: nothing is refused
+//
+// One of n brokers sees an nth of the queries, and moves the factor by so little of its range: a handful of
+// queries tell no quantile. So 300 are at 2 all but for 0.1, six go from 0.7 to 4.7.
+type Needs struct{ factor, least, most float64 } // 0 for few brokers: nothing is refused
 
 // NewNeeds makes what one of n brokers begins with.
 func NewNeeds(n int) Needs {
 	x := needsFirst * NewThrottle(n).weight
-	return Needs{x, x}
+	return Needs{x, x, x + needsMost*few/math.Max(1, float64(n))}
 }
 
 // Last is the time, in ms, of the last of so many parts where one takes so long.
@@ -50,5 +53,5 @@
 	case whole && !longer:
 		step = needsPoint - 1
 	}
-	n.factor = math.Min(math.Max(n.factor*math.Exp(needsStep*step), n.least), needsMost)
+	n.factor = math.Min(math.Max(n.factor*math.Exp(needsStep*step), n.least), n.most)
 }
