Review case 2: a leaf suspended while discovery is down ends all calls to discovery

Cause: an operator's suspension reaches the scheduler as an update of the list, which forgets the poll that it had scheduled after the failed watch. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -46,7 +46,8 @@
 }
 
 var cases = map[string]func(p *play) (broken bool, err error){
-	"flood": playFlood,
+	"flood":             playFlood,
+	"suspend-in-outage": playSuspendInOutage,
 }
 
 func main() {
