Review case 3: over Flight a spoilt answer of over 256 KiB makes a bind run again

Cause: RESOURCE_EXHAUSTED counts as proof that the part did not run, but the client side of gRPC makes that status itself for an answer beyond its size limit. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -46,8 +46,9 @@
 }
 
 var cases = map[string]func(p *play) (broken bool, err error){
-	"flood":             playFlood,
-	"suspend-in-outage": playSuspendInOutage,
+	"flood":              playFlood,
+	"suspend-in-outage":  playSuspendInOutage,
+	"spoilt-over-flight": playSpoiltOverFlight,
 }
 
 func main() {
