--- a/review/standin/case_flood.go
+++ b/review/standin/case_flood.go
@@ -147,7 +147,9 @@
 		all.Go(func() {
 			for time.Since(began) < floodEnds {
 				connected := time.Now()
-				end := sendBad(address)
+				id := randomHex(8)
+				end := sendBad(address, id)
+				p.rec.lineAt(connected, "bad client: sends %s, end: %s after %v", id, end, time.Since(connected))
 				mu.Lock()
 				ends[end]++
 				slowest = max(slowest, time.Since(connected))
@@ -160,7 +162,7 @@
 }
 
 // sendBad sends one request that breaks the contract, and returns how it ended.
-func sendBad(address string) string {
+func sendBad(address, id string) string {
 	conn, err := net.DialTimeout("tcp", address, 3*time.Second)
 	if err != nil {
 		time.Sleep(50 * time.Millisecond)
@@ -168,7 +170,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
-	if _, err := conn.Write(badRequest()); err != nil {
+	if _, err := conn.Write(badRequest(id)); err != nil {
 		return "closed"
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -179,9 +181,9 @@
 }
 
 // badRequest returns a request whose shards stand twice and whose weights don't add up to 1.
-func badRequest() []byte {
+func badRequest(id string) []byte {
 	parts := strings.Repeat(`{"shard":1,"weight":0.0005},`, floodParts)
 	body := `{"shards":[` + strings.TrimSuffix(parts, ",") + `],"q":"c41e77d0"}`
 	return []byte(fmt.Sprintf("POST /quote HTTP/1.1\r\nHost: api.internal\r\nX-Request-Id: %s\r\nX-Class: quote\r\n"+
-		"X-Tenant: gangasagar-life\r\nX-Deadline: 3.000\r\nContent-Length: %d\r\n\r\n%s", randomHex(8), len(body), body))
+		"X-Tenant: gangasagar-life\r\nX-Deadline: 3.000\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body))
 }
