Review: the kernel ends the brokers with the stand-in, and SIGHUP ends a play in order

Cause: after SIGHUP or SIGKILL of a script its broker ended only at its next log line, by the closed pipe, and SIGHUP gave 129; a signal in the middle of a start could miss the broker. Change: review/standin sets the parent death signal, catches SIGHUP and starts nothing once a play is over.

--- a/review/standin/broker.go
+++ b/review/standin/broker.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -133,19 +134,18 @@
 		return err
 	}
 	b.cmd.Stdout, b.cmd.Stderr = writer, writer
-	if err := b.cmd.Start(); err != nil {
+	// The kernel ends the broker with this process, however this process ends.
+	b.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	b.ended = make(chan struct{})
+	if err := p.startProcess(b); err != nil {
 		return err
 	}
 	_ = writer.Close()
-	p.mu.Lock()
-	p.brokers = append(p.brokers, b)
-	p.mu.Unlock()
 	go func() {
 		for lines := bufio.NewScanner(output); lines.Scan(); {
 			b.rec.line("%s log: %s", b.name, lines.Text())
 		}
 	}()
-	b.ended = make(chan struct{})
 	go func() {
 		err := b.cmd.Wait()
 		b.rec.line("%s ended: %v", b.name, err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,12 +33,28 @@
 
 	mu      sync.Mutex
 	brokers []*broker // that were started
+	over    bool      // no further process is started
+}
+
+// startProcess starts the process of a broker, unless the play is over.
+func (p *play) startProcess(b *broker) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.over {
+		return errors.New("the play is over")
+	}
+	if err := b.cmd.Start(); err != nil {
+		return err
+	}
+	p.brokers = append(p.brokers, b)
+	return nil
 }
 
 // stopAll ends every process that the play started.
 func (p *play) stopAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.over = true
 	for _, b := range p.brokers {
 		b.stop()
 	}
@@ -91,7 +107,7 @@
 // withinTime plays a case, but gives it up after longestPlay or when this process is told to end.
 func withinTime(p *play, playCase func(p *play) (bool, error)) (bool, error) {
 	ended := make(chan os.Signal, 1)
-	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	type result struct {
 		broken bool
 		err    error
