loop: log a scheduling round that is delayed

The log did not tell these causes apart: parsing alone is slow; the loop polls again and again before the round; it handles one batch of events after the other within a poll; connections are not accepted; admission rejects.

--- a/cmd/ternstage/broker.go
+++ b/cmd/ternstage/broker.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 	"time"
 
+	"go.uber.org/zap"
+
 	"ternstage/internal/config"
 	"ternstage/internal/control/adminapi"
 	"ternstage/internal/control/adminops"
@@ -72,9 +74,17 @@
 	b.followEndpointList()
 	b.followCatalogue()
 	b.loop.OnWakeUpEnd(b.core.RunRound)
+	b.loop.OnRoundDelayed(b.logRoundDelay)
 	return b.listenFlight()
 }
 
+// logRoundDelay logs that a scheduling round is delayed: the broker has more work than its share of the CPU allows, or
+// the process was held up.
+func (b *broker) logRoundDelay(delay loop.RoundDelay) {
+	b.log.Warn("scheduling round delayed", zap.Float64("delay_ms", delay.DelayMs), zap.Int("polls", delay.Polls),
+		zap.Int("events", delay.Events))
+}
+
 // onClose registers a function that close calls. Functions that are registered later are called earlier.
 func (b *broker) onClose(closer func()) { b.closers = append(b.closers, closer) }
 
--- a/internal/transport/loop/loop.go
+++ b/internal/transport/loop/loop.go
@@ -38,6 +38,7 @@
 	lastSerial    int32
 	timers        []*Timer
 	onWakeUpEnd   func()
+	delays        roundDelays
 	stopped       bool
 
 	eventFD eventFD
@@ -84,6 +85,7 @@
 // Run handles events until Stop is called. It returns an error only if epoll fails.
 func (l *Loop) Run() error {
 	for !l.stopped {
+		l.delays.beginWakeUp()
 		if err := l.pollUntilCurrent(); err != nil {
 			return err
 		}
@@ -102,7 +104,10 @@
 		if err := l.poll(timeoutMs); err != nil {
 			return err
 		}
-		if l.ReadClock()-l.now < maxClockAgeMs {
+		l.delays.polls++
+		clockMs := l.ReadClock()
+		l.delays.check(clockMs)
+		if clockMs-l.now < maxClockAgeMs {
 			return nil
 		}
 		timeoutMs = 0
@@ -130,6 +135,7 @@
 			return fmt.Errorf("epoll wait: %w", err)
 		}
 		l.now = l.ReadClock()
+		l.delays.addEvents(l.now, max(count, 0))
 		for _, event := range events[:max(count, 0)] {
 			l.dispatch(event)
 		}
