loop: queue the parsing of queries, so that a flood of large ones starves nobody

Cause: requests were parsed in the handlers of the event loop. A poll handled up to 16 full batches of 128 events without a limit on time before the scheduling round, and every event waited for the parsing of all others.

Evidence: "scheduling round delayed" showed one wake-up of 9,033 ms with 3 polls and 3,535 events. Ruled out: repeated polls, admission, the accept queue, evictions.

Fix: both callers of contract.ParseQuery, the HTTP and the Flight front, queue it on the loop. A wake-up gives the queue 5 ms or one piece of work, and then runs the round. The queue shares its time equally between classes of input size, so a usual query waits for one large body at most, on a machine of any speed. A poll stops after 10 ms, a wake-up after 4 polls (16 before). A query that waits counts in the buffer limit; beyond it large ones get 503. Also looked at: requests behind an answered one (queued the same way), endpoint lists from discovery and from agents that push, the shard catalogue, answers of backends and the admin API: each is limited in size and to one answer a call, and the 10 ms of a poll bound them.

--- a/internal/transport/flight/fixture_test.go
+++ b/internal/transport/flight/fixture_test.go
@@ -40,6 +40,9 @@
 // Post implements Loop.
 func (l *testLoop) Post(work func()) { l.work <- work }
 
+// Enqueue implements Loop. It runs work at once.
+func (l *testLoop) Enqueue(_ int, work func()) { work() }
+
 // Now implements Loop.
 func (l *testLoop) Now() float64 { return toMs(time.Since(l.startedAt)) }
 
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -33,6 +33,9 @@
 	// Post queues work to run on the loop, in the order of the calls. It may be called from any goroutine and does not
 	// block.
 	Post(work func())
+	// Enqueue queues work that takes long for its input of sizeBytes. Work with a large input does not hold up work
+	// with a small one. It must be called on the loop.
+	Enqueue(sizeBytes int, work func())
 	// Now returns the time of the current wake-up in milliseconds. It must be called on the loop.
 	Now() float64
 }
@@ -117,7 +120,9 @@
 		submitResult: make(chan error, 1),
 		answer:       make(chan core.Answer, 1),
 	}
-	f.loop.Post(func() { call.submitResult <- call.submit(ctx) })
+	f.loop.Post(func() {
+		f.loop.Enqueue(len(call.ticket), func() { call.submitResult <- call.submit(ctx) })
+	})
 	if err := <-call.submitResult; err != nil {
 		return invalidQueryStatus(err)
 	}
--- a/internal/transport/httpfront/close.go
+++ b/internal/transport/httpfront/close.go
@@ -13,6 +13,10 @@
 // handleDisconnect closes a connection that the client has closed or reset. If a request is open, it informs core.
 func (c *connection) handleDisconnect(err error) {
 	code := logs.ClientDisconnectedIdle
+	if c.queuedQuery != nil {
+		code = logs.ClientDisconnectedInRequest
+		c.queuedQuery = nil
+	}
 	if request := c.openRequest; request != nil {
 		code = logs.ClientDisconnectedInRequest
 		c.openRequest = nil
--- a/internal/transport/httpfront/connection.go
+++ b/internal/transport/httpfront/connection.go
@@ -18,10 +18,8 @@
 	peer   string       // address, for the log
 
 	incoming    incomingRequest
+	queuedQuery *queuedQuery  // has arrived and waits in the loop's queue; later requests wait in the input
 	openRequest *core.Request // submitted and not answered; later requests wait in the input
-	// servePosted reports whether a function posted to the loop will serve the rest of the input. Nothing else may serve
-	// it meanwhile.
-	servePosted bool
 
 	answeredCount int     // requests
 	activeAtMs    float64 // time of the last answer or of the start of lingering; before both, of the accept
@@ -56,16 +54,18 @@
 // isLingering reports whether the sending side is shut down and the connection waits for the client to end its side.
 func (e *connectionEnding) isLingering() bool { return e.lingerCode != "" }
 
+// isServing reports whether a query has arrived and has not been answered.
+func (c *connection) isServing() bool { return c.queuedQuery != nil || c.openRequest != nil }
+
 // isIdle reports whether the connection serves clients but has no request, buffered input or unsent output.
 func (c *connection) isIdle() bool {
-	return c.openRequest == nil && len(c.stream.In) == 0 && len(c.stream.Out) == 0 &&
+	return !c.isServing() && len(c.stream.In) == 0 && len(c.stream.Out) == 0 &&
 		!c.ending.isLingering() && !c.ending.closed
 }
 
 // hasPartialRequest reports whether the only thing in progress is a request of which the rest has not arrived.
 func (c *connection) hasPartialRequest() bool {
-	return c.openRequest == nil && len(c.stream.In) > 0 && len(c.stream.Out) == 0 &&
-		!c.ending.isLingering() && !c.servePosted
+	return !c.isServing() && len(c.stream.In) > 0 && len(c.stream.Out) == 0 && !c.ending.isLingering()
 }
 
 // Ready implements loop.Handler. It reads input, serves requests and sends output.
@@ -94,6 +94,9 @@
 	bufferedBytes := 0
 	if !c.ending.closed {
 		bufferedBytes = cap(c.stream.In) + cap(c.stream.Out)
+		if c.queuedQuery != nil {
+			bufferedBytes += c.queuedQuery.bufferedBytes
+		}
 	}
 	c.server.bufferedBytes += bufferedBytes - c.bufferedBytes
 	c.bufferedBytes = bufferedBytes
--- a/internal/transport/httpfront/doc.go
+++ b/internal/transport/httpfront/doc.go
@@ -21,7 +21,7 @@
 //   - read.go, write.go, close.go: reading requests, writing responses, and closing a connection.
 //   - parser.go, request.go, chunked.go, response.go: HTTP/1.1 (RFC 9110, RFC 9112).
 //   - routes.go: the names and meanings of paths and header fields; no other file has them.
-//   - query.go, pages.go: the handlers of the routes.
+//   - query_queue.go, query.go, pages.go: the queue of queries, and the handlers of the routes.
 //   - errors.go: the status of each error.
 //
 // # Invariants
--- a/internal/transport/httpfront/errors.go
+++ b/internal/transport/httpfront/errors.go
@@ -18,6 +18,8 @@
 	errRequestTimeout = errors.New("the request did not come whole in time")
 	// The request has arrived in part, and all connections together buffer too much to wait for its rest.
 	errBufferLimit = errors.New("no memory for a request that does not come whole")
+	// The request has arrived, and all connections together buffer too much to let it wait until it is parsed.
+	errQueueLimit = errors.New("no memory for a request of this size")
 	// The program shuts down, and the rest of the request did not arrive in time.
 	errShutdown = errors.New("the program ends, and the request did not come whole")
 
@@ -45,6 +47,7 @@
 	{errFailed, http.StatusBadGateway},
 	{errRejected, http.StatusServiceUnavailable},
 	{errBufferLimit, http.StatusServiceUnavailable},
+	{errQueueLimit, http.StatusServiceUnavailable},
 	{errShutdown, http.StatusServiceUnavailable},
 	{errTimedOut, http.StatusGatewayTimeout},
 }
--- a/internal/transport/httpfront/query.go
+++ b/internal/transport/httpfront/query.go
@@ -16,8 +16,8 @@
 //
 // An unknown class, an unknown tenant or a stale epoch does not affect the next request, so the connection is kept.
 // After any other error it is closed.
-func (c *connection) submit(request *httpRequest) {
-	err := c.trySubmit(request)
+func (c *connection) submit(query *queuedQuery) {
+	err := c.trySubmit(query)
 	var stale *core.StaleEpochError
 	switch {
 	case err == nil:
@@ -30,18 +30,18 @@
 
 // trySubmit submits a query to core. If it returns an error, nothing was submitted. Core may call Deliver before
 // trySubmit returns.
-func (c *connection) trySubmit(request *httpRequest) error {
-	envelope, err := parseEnvelope(request)
+func (c *connection) trySubmit(query *queuedQuery) error {
+	envelope, err := parseEnvelope(query.request)
 	if err != nil {
 		return err
 	}
-	query, err := c.server.contracts.ParseQuery(envelope, request.body, c.server.loop.Now())
+	coreRequest, err := c.server.contracts.ParseQuery(envelope, query.request.body, query.arrivedAtMs)
 	if err != nil {
 		return err
 	}
-	query.Client = c
-	c.openRequest = query // before Submit: Deliver clears it
-	err = c.server.core.Submit(query)
+	coreRequest.Client = c
+	c.openRequest = coreRequest // before Submit: Deliver clears it
+	err = c.server.core.Submit(coreRequest)
 	if err != nil {
 		c.openRequest = nil
 	}
@@ -75,24 +75,11 @@
 	return seconds
 }
 
-// Deliver implements core.Client. It posts the serving of the requests behind the answered one to the loop instead of
-// serving them at once, because core calls it in the middle of a scheduling round or of Submit.
+// Deliver implements core.Client. It does not call back into core: a query behind the answered one is only queued.
 func (c *connection) Deliver(answer core.Answer) {
 	c.openRequest = nil
 	c.respond(answerResponse(answer))
-	c.servePosted = len(c.stream.In) > 0 && !c.ending.closeAfterOutput
 	c.flush()
-	if c.ending.closed || !c.servePosted {
-		return
-	}
-	c.server.loop.Post(func() {
-		c.servePosted = false
-		if c.ending.closed {
-			return
-		}
-		c.serveBuffered()
-		c.flush()
-	})
 }
 
 // answerResponse returns the response for a final answer.
--- a/internal/transport/httpfront/read.go
+++ b/internal/transport/httpfront/read.go
@@ -33,13 +33,13 @@
 
 // readInput reads the input that has arrived, up to maxInputBytes. eof reports whether the client has ended its side.
 //
-// If the input reaches maxInputBytes while a request is open, that request becomes the last of the connection, and
+// If the input reaches maxInputBytes while a query is being served, that query becomes the last of the connection, and
 // all other input is discarded, which bounds memory. The connection is still read, as a disconnect of the client is
 // noticed only by reading. Noticing it spares backends work for a client that has disconnected.
 func (c *connection) readInput() (eof bool, err error) {
 	if !c.ending.closeAfterOutput {
 		eof, err = c.stream.Read(maxInputBytes)
-		if eof || err != nil || c.openRequest == nil || len(c.stream.In) < maxInputBytes {
+		if eof || err != nil || !c.isServing() || len(c.stream.In) < maxInputBytes {
 			return eof, err
 		}
 		c.ending.closeAfterOutput = true
@@ -49,11 +49,11 @@
 	return eof, err
 }
 
-// handleEOF handles the end of the client's side. If a request is open, the client is assumed to have disconnected,
-// since a close cannot be told from a shutdown of only the client's sending side.
+// handleEOF handles the end of the client's side. If a query is not answered yet, the client is assumed to have
+// disconnected, since a close cannot be told from a shutdown of only the client's sending side.
 func (c *connection) handleEOF() {
 	switch {
-	case c.openRequest != nil:
+	case c.isServing():
 		c.handleDisconnect(nil)
 	case len(c.stream.Out) == 0:
 		c.close(logs.ClientDisconnectedIdle, nil)
@@ -62,8 +62,8 @@
 	}
 }
 
-// serveBuffered serves the requests in the input, up to the first one that core has to answer or that has not arrived
-// in full. It may close the connection.
+// serveBuffered serves the requests in the input, up to the first query or the first request that has not arrived in
+// full. It queues the query. It may close the connection.
 func (c *connection) serveBuffered() {
 	for c.canServe() {
 		request, sizeBytes, err := c.incoming.parser.next(c.stream.In)
@@ -76,21 +76,22 @@
 			return
 		}
 		c.incoming.continueSent = false
+		if request.isQuery() {
+			c.queueQuery(request, sizeBytes)
+			continue
+		}
 		c.incoming.servingBytes = sizeBytes
 		c.route(request)
 		c.incoming.servingBytes = 0
-		if c.ending.closed || c.ending.isLingering() || c.ending.rejectErr != nil {
-			return // the input has been emptied already
-		}
 		c.stream.Consume(sizeBytes)
 		c.incoming.beganAtMs = c.server.loop.Now()
 	}
 }
 
-// canServe reports whether the next request may be served: there is input, no request is open, the connection is not
-// ending, and the client reads its answers.
+// canServe reports whether the next request may be served: there is input, no query is being served, the connection is
+// not ending, and the client reads its answers.
 func (c *connection) canServe() bool {
-	return c.openRequest == nil && !c.ending.closeAfterOutput && !c.ending.closed &&
+	return !c.isServing() && !c.ending.closeAfterOutput && !c.ending.closed &&
 		len(c.stream.In) > 0 && len(c.stream.Out) < maxOutputBytes
 }
 
--- a/internal/transport/httpfront/routes.go
+++ b/internal/transport/httpfront/routes.go
@@ -22,7 +22,13 @@
 	bodyNotServing = `{"status":"not serving"}`
 )
 
-// route answers a request, or submits it to core as a query.
+// isQuery reports whether a request is a query: a POST to another path than that of the health check or of the
+// contracts.
+func (r *httpRequest) isQuery() bool {
+	return r.method == http.MethodPost && r.path != pathHealth && r.path != pathContracts
+}
+
+// route answers a request that is not a query.
 func (c *connection) route(request *httpRequest) {
 	c.ending.closeAfterOutput = request.closeRequested
 	readOnly := request.method == http.MethodGet || request.method == http.MethodHead
@@ -30,19 +36,13 @@
 	switch {
 	case page != nil && readOnly:
 		c.respond(httpResponse{status: http.StatusOK, body: page()})
-	case request.path == pathHealth || request.path == pathContracts:
-		if !readOnly {
-			c.respond(errorResponse(errPageIsReadOnly))
-			return
-		}
-		if request.path == pathHealth {
-			c.respond(c.server.healthResponse())
-			return
-		}
-		c.respond(httpResponse{status: http.StatusOK, body: c.server.contractsPage()})
-	case request.method != http.MethodPost:
+	case request.path != pathHealth && request.path != pathContracts:
 		c.respond(errorResponse(errQueryNotPost))
+	case !readOnly:
+		c.respond(errorResponse(errPageIsReadOnly))
+	case request.path == pathHealth:
+		c.respond(c.server.healthResponse())
 	default:
-		c.submit(request)
+		c.respond(httpResponse{status: http.StatusOK, body: c.server.contractsPage()})
 	}
 }
--- a/internal/transport/httpfront/write.go
+++ b/internal/transport/httpfront/write.go
@@ -54,7 +54,7 @@
 			c.handleDisconnect(err)
 			return
 		}
-		if len(c.stream.Out) > 0 || c.servePosted || !c.canServe() {
+		if len(c.stream.Out) > 0 || !c.canServe() {
 			break
 		}
 		inputBytes := len(c.stream.In)
@@ -68,7 +68,7 @@
 		}
 	}
 	c.updateBufferedBytes()
-	isDone := len(c.stream.Out) == 0 && c.openRequest == nil && !c.servePosted
+	isDone := len(c.stream.Out) == 0 && !c.isServing()
 	if isDone && (c.ending.closeAfterOutput || c.ending.receivedEOF) {
 		c.linger(logs.ClientClosed)
 		return
@@ -77,7 +77,7 @@
 }
 
 // wantedEvents returns the epoll events that the connection waits for. It waits for input only while there is space
-// for it, which protects memory from endless pipelining. With an open request there always is (see readInput), so
+// for it, which protects memory from endless pipelining. While a query is served there always is (see readInput), so
 // that a disconnect of the client is noticed.
 func (c *connection) wantedEvents() uint32 {
 	events := uint32(0)
--- a/internal/transport/loop/doc.go
+++ b/internal/transport/loop/doc.go
@@ -4,6 +4,9 @@
 // descriptor is ready. Handlers share state without locks and must not block. No goroutine or timer is created per
 // request. Other threads access the loop only through Post.
 //
+// Work that takes longer, such as parsing a client's request, is queued with Enqueue. Each wake-up gives it a limited
+// time, so that it cannot hold up events, timers and scheduling rounds.
+//
 // At the end of each wake-up, after all pending events have been handled, the loop calls the function set with
 // OnWakeUpEnd, which runs the scheduling round.
 //
--- a/internal/transport/loop/loop.go
+++ b/internal/transport/loop/loop.go
@@ -15,12 +15,16 @@
 
 const (
 	// eventsPerBatch is the maximum number of events that one epoll_wait returns.
-	eventsPerBatch = 128
+	eventsPerBatch = 32
 	// maxBatches limits the batches of events that one poll handles, so that a flood of events cannot delay the
 	// scheduling round indefinitely.
-	maxBatches = 16
-	// maxPolls limits the polls before a scheduling round, for the same reason.
-	maxPolls = 16
+	maxBatches = 64
+	// maxEventsMs is the time after which a poll handles no further batch, for the same reason. Events that are left
+	// come first in the next poll.
+	maxEventsMs = 10.0
+	// maxPolls limits the polls before a scheduling round. The second one sees what arrived while the process was held
+	// up; the others are for a process that is held up again.
+	maxPolls = 4
 	// maxClockAgeMs is the maximum age of the loop's time when the scheduling round starts. If handlers took longer,
 	// the loop polls again first, so that the round also sees the events that arrived meanwhile.
 	maxClockAgeMs = 20.0
@@ -28,8 +32,8 @@
 
 // Loop is an event loop on top of epoll. Post is the only method that other threads may call.
 //
-// Invariant: onWakeUpEnd runs once per wake-up, after the handlers of all events, the posted functions and the due
-// timers of the wake-up.
+// Invariant: onWakeUpEnd runs once per wake-up, after the handlers of all events, the posted functions, the due timers
+// and the queued work of the wake-up.
 type Loop struct {
 	epollFD       int
 	startedAt     time.Time
@@ -41,6 +45,8 @@
 	delays        roundDelays
 	stopped       bool
 
+	queue workQueue
+
 	eventFD eventFD
 	mu      sync.Mutex // guards posted
 	posted  []func()
@@ -96,14 +102,16 @@
 	return nil
 }
 
-// pollUntilCurrent waits for an event, posted work or a due timer. It polls again until the loop's time is less than
-// maxClockAgeMs old, up to maxPolls times in all.
+// pollUntilCurrent waits for an event, posted work or a due timer, and runs queued work. It polls again until the
+// loop's time is less than maxClockAgeMs old, up to maxPolls times in all.
 func (l *Loop) pollUntilCurrent() error {
 	timeoutMs := l.pollTimeoutMs()
+	budgetMs := queuedWorkBudgetMs
 	for range maxPolls {
 		if err := l.poll(timeoutMs); err != nil {
 			return err
 		}
+		budgetMs -= l.runQueue(budgetMs)
 		l.delays.polls++
 		clockMs := l.ReadClock()
 		l.delays.check(clockMs)
@@ -115,7 +123,7 @@
 	return nil
 }
 
-// poll waits up to timeoutMs for events. It then handles all events that the kernel has pending, runs the posted work
+// poll waits up to timeoutMs for events. It then handles the events that the kernel has pending, runs the posted work
 // and fires the due timers, in this order.
 func (l *Loop) poll(timeoutMs int) error {
 	if err := l.handleEvents(timeoutMs); err != nil {
@@ -126,15 +134,20 @@
 	return nil
 }
 
-// handleEvents waits up to timeoutMs for events and calls the handlers of all ready descriptors.
+// handleEvents waits up to timeoutMs for events and calls the handlers of the ready descriptors: of all of them,
+// unless that takes longer than maxEventsMs.
 func (l *Loop) handleEvents(timeoutMs int) error {
 	var events [eventsPerBatch]unix.EpollEvent
+	startedAt := 0.0
 	for range maxBatches {
 		count, err := unix.EpollWait(l.epollFD, events[:], timeoutMs)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("epoll wait: %w", err)
 		}
 		l.now = l.ReadClock()
+		if startedAt == 0 {
+			startedAt = l.now
+		}
 		l.delays.addEvents(l.now, max(count, 0))
 		for _, event := range events[:max(count, 0)] {
 			l.dispatch(event)
@@ -144,6 +157,9 @@
 		if err == nil && count < eventsPerBatch {
 			return nil
 		}
+		if l.ReadClock()-startedAt > maxEventsMs {
+			return nil
+		}
 		timeoutMs = 0
 	}
 	return nil
--- a/internal/transport/loop/timer.go
+++ b/internal/transport/loop/timer.go
@@ -39,8 +39,11 @@
 }
 
 // pollTimeoutMs returns the time until the next timer is due, at most maxPollTimeoutMs. It is rounded up, so that the
-// timer is due when the wait ends.
+// timer is due when the wait ends. It returns 0 while work is queued.
 func (l *Loop) pollTimeoutMs() int {
+	if l.queue.length > 0 {
+		return 0
+	}
 	nextDueAt := math.Inf(1)
 	now := l.ReadClock()
 	for _, timer := range l.timers {
