--- a/internal/contract/query.go
+++ b/internal/contract/query.go
@@ -121,9 +121,16 @@
 // parseBody parses a JSON body and checks that it has a query text and at least one part.
 func (c *Contracts) parseBody(jsonBody []byte) (*body, error) {
 	parsed := &body{}
-	if err := errors.Join(c.checkUnambiguous(jsonBody), json.Unmarshal(jsonBody, parsed)); err != nil {
+	checkErr := c.checkUnambiguous(jsonBody)
+	if checkErr != nil && !errors.Is(checkErr, errSyntax) {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, checkErr)
+	}
+	if err := json.Unmarshal(jsonBody, parsed); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
+	if checkErr != nil { // the two parsers disagree
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, checkErr)
+	}
 	// encoding/json replaces half of a surrogate pair by the replacement character, so a text with that character is
 	// rejected.
 	if parsed.Q == nil || strings.ContainsRune(*parsed.Q, utf8.RuneError) || len(parsed.Shards) == 0 {
--- a/internal/contract/query_test.go
+++ b/internal/contract/query_test.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"ternstage/internal/core"
 )
@@ -161,6 +163,24 @@
 	}
 }
 
+// TestParsersAgree checks that the parser that checks the names reads every body that the other one accepts: it would
+// not see the names behind a syntax error.
+func TestParsersAgree(t *testing.T) {
+	piece := rapid.SampledFrom([]string{"{", "}", "[", "]", ",", ":", `"q"`, `"shards"`, `"\ud800"`, `"\u00e9"`, `"Q"`, "1",
+		"-0", "1e400", "1.5E+3", "true", "null", " ", "\n", "\\", "\x00", "\x7f", "\u2028"})
+	nested := func(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+	contracts := newContracts()
+	for _, text := range []string{nested(9_999), nested(10_000), nested(10_001)} {
+		assert.Equal(t, json.Valid([]byte(text)), contracts.checkUnambiguous([]byte(text)) == nil)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		text := []byte(strings.Join(rapid.SliceOfN(piece, 0, 12).Draw(t, "pieces"), ""))
+		if json.Valid(text) {
+			assert.NotErrorIs(t, contracts.checkUnambiguous(text), errSyntax)
+		}
+	})
+}
+
 // The epoch is parsed under resharding only. Its name must then have the right letter case.
 func TestParseQueryEpoch(t *testing.T) {
 	body := func(name, epoch string) []byte {
