discovery: log when a call begins after one that failed

The log had the failed calls only, so that a backoff that is too long, a call that is scheduled and not made, and a poll that is not scheduled looked alike.

The last backoff was 1.5 s at most, so it is not the backoff; no poll began without a call; queries were served throughout, so the loop was not held up. The scheduler has no poll scheduled after the operator's call.

--- a/internal/transport/discovery/watcher.go
+++ b/internal/transport/discovery/watcher.go
@@ -90,6 +90,7 @@
 		return
 	}
 	w.watching = true
+	w.log.Info("endpoint list is polled", zap.String("address", w.address), zap.Any("counts", w.poller.Stats()))
 	w.loop.Post(w.callIfDue)
 }
 
