scheduler: a suspension leaves the polls of the endpoint list as they are

Cause: adminops reported a suspension by EndpointsChanged with UpdateDelta, the event of a watch that has brought changes. The scheduler takes it as proof of an open watch and discards the poll that it had scheduled after a failure.

Evidence: by the line "endpoint list is polled" polls came 0.9 to 1.2 s apart up to the operator's call and none in the 60 s after it. Ruled out: the backoff (1.5 s at most), polls that are scheduled but not made, a loop that is held up.

Fix: changes that do not come from discovery are a separate event, EndpointsOverridden, which touches neither the poll nor its backoff. Looked at: all callers of EndpointsChanged (the watcher's cached list, answers and failures; suspend, resume and the file changed by another process, which share notify; the emulator; the simulator's adapter), SIGHUP to another address, pushed lists and the shard catalogue.

--- a/internal/control/adminops/control.go
+++ b/internal/control/adminops/control.go
@@ -13,10 +13,10 @@
 // processes. A change made at one process must be in force at the others within 50 ms.
 const PollIntervalMs = 20.0
 
-// EndpointSink is the scheduler as the receiver of endpoint list updates.
+// EndpointSink is the scheduler as the receiver of suspensions.
 type EndpointSink interface {
-	// EndpointsChanged applies an update of the endpoint list.
-	EndpointsChanged(kind scheduler.UpdateKind, entries []scheduler.Endpoint)
+	// EndpointsOverridden applies the endpoints of backends that were suspended or resumed.
+	EndpointsOverridden(entries []scheduler.Endpoint)
 }
 
 // EndpointLookup looks up backends in the endpoint list.
--- a/internal/control/adminops/control_test.go
+++ b/internal/control/adminops/control_test.go
@@ -16,14 +16,14 @@
 // process is one process of a broker: its Control, and fakes of the scheduler, the endpoint list and the front.
 type process struct {
 	*Control
-	endpoints  []scheduler.Endpoint // of all EndpointsChanged calls
+	endpoints  []scheduler.Endpoint // of all EndpointsOverridden calls
 	draining   bool
 	closeAfter bool
 	idleClosed int // calls of CloseIdle
 	logPath    string
 }
 
-func (p *process) EndpointsChanged(_ scheduler.UpdateKind, endpoints []scheduler.Endpoint) {
+func (p *process) EndpointsOverridden(endpoints []scheduler.Endpoint) {
 	p.endpoints = append(p.endpoints, endpoints...)
 }
 func (p *process) Healthy() bool              { return !p.draining }
--- a/internal/control/adminops/suspensions.go
+++ b/internal/control/adminops/suspensions.go
@@ -154,8 +154,8 @@
 	return nil
 }
 
-// notify notifies the scheduler, by an endpoint list update, of backends that were suspended or resumed. It runs
-// before the operator's call is answered, so that the drain grace of a suspended backend has begun by then.
+// notify notifies the scheduler of backends that were suspended or resumed. It runs before the operator's call is
+// answered, so that the drain grace of a suspended backend has begun by then.
 func (s *suspensionStore) notify(ids ...string) {
 	endpoints := make([]scheduler.Endpoint, 0, len(ids))
 	for _, id := range ids {
@@ -164,6 +164,6 @@
 		}
 	}
 	if len(endpoints) > 0 {
-		s.sink.EndpointsChanged(scheduler.UpdateDelta, endpoints)
+		s.sink.EndpointsOverridden(endpoints)
 	}
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -104,11 +104,16 @@
 // process ends, in ms of the loop's clock. By default there is no limit.
 func (c *Core) SetFinalAnswerDeadline(at float64) { c.finalAnswerBy = at }
 
-// EndpointsChanged passes a change of the endpoint list to the scheduler.
+// EndpointsChanged passes an update of the endpoint list from discovery to the scheduler.
 func (c *Core) EndpointsChanged(kind scheduler.UpdateKind, entries []scheduler.Endpoint) {
 	c.scheduler.EndpointsChanged(c.clock.Now(), kind, entries)
 }
 
+// EndpointsOverridden passes backends that operators have suspended or resumed to the scheduler.
+func (c *Core) EndpointsOverridden(entries []scheduler.Endpoint) {
+	c.scheduler.EndpointsOverridden(c.clock.Now(), entries)
+}
+
 // OpenRequests returns the number of requests that have not ended.
 func (c *Core) OpenRequests() int { return len(c.openRequests) }
 
--- a/internal/decision/scheduler/doc.go
+++ b/internal/decision/scheduler/doc.go
@@ -3,9 +3,9 @@
 //
 // It is a state machine. It does no I/O, reads no clock and starts no goroutine: events go in, actions come out.
 // The caller reports events with QueryArrived, PartArrived, AttemptEnded, ClientDisconnected, EndpointsChanged,
-// PlacementChanged and TimerFired, in the order in which they happened. Then it calls RunRound once for all events of
-// one moment. During any of these calls, the scheduler calls the methods of the Actions that were passed to New. A
-// Scheduler is not safe for concurrent use and shares nothing with other instances.
+// EndpointsOverridden, PlacementChanged and TimerFired, in the order in which they happened. Then it calls RunRound
+// once for all events of one moment. During any of these calls, the scheduler calls the methods of the Actions that
+// were passed to New. A Scheduler is not safe for concurrent use and shares nothing with other instances.
 //
 // # Units
 //
--- a/internal/decision/scheduler/endpoint_list.go
+++ b/internal/decision/scheduler/endpoint_list.go
@@ -32,7 +32,7 @@
 // endpointPoll holds when the endpoint list is polled next.
 type endpointPoll struct {
 	backoffMs float64 // last delay after a failure, before jitter; 0 after a success
-	dueAt     float64 // time of the next poll; +Inf while a watch runs or no poll is needed
+	dueAt     float64 // time of the next poll; +Inf only while a watch runs or no poll is needed
 }
 
 // fleetPollMs returns how long the discovery service needs for one poll of every broker, in ms. It returns 0 in a
@@ -102,7 +102,8 @@
 	s.poll.dueAt = now + cmp.Or(s.settings.MaxStaleness/2, math.Inf(1))
 }
 
-// EndpointsChanged applies an update of the endpoint list or reports that a poll failed.
+// EndpointsChanged applies an update of the endpoint list or reports that a poll failed. It is only for what a poll or
+// watch has brought, since it determines when the list is polled next; see EndpointsOverridden.
 func (s *Scheduler) EndpointsChanged(now float64, kind UpdateKind, entries []Endpoint) {
 	s.slowStart.sentWorkKnownSince = cmp.Or(s.slowStart.sentWorkKnownSince, now)
 	if kind == UpdateFailed {
@@ -110,12 +111,24 @@
 		return
 	}
 	s.schedulePollAfterUpdate(now, kind, len(entries))
+	s.applyEndpoints(now, entries, kind != UpdateDelta)
+}
+
+// EndpointsOverridden applies a change that did not come from discovery: operators have suspended or resumed the
+// backends of entries. The change says nothing about discovery or the watch, so a scheduled poll stays scheduled.
+func (s *Scheduler) EndpointsOverridden(now float64, entries []Endpoint) {
+	s.applyEndpoints(now, entries, false)
+}
+
+// applyEndpoints updates the replicas of entries. If the entries are the complete list, all other replicas have been
+// removed.
+func (s *Scheduler) applyEndpoints(now float64, entries []Endpoint, complete bool) {
 	listed := make(map[uint32]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Replica] = true
 		s.replicas.apply(e)
 	}
-	if kind != UpdateDelta {
+	if complete {
 		s.replicas.markUnlistedRemoved(listed)
 	}
 	s.replicas.refresh(now)
--- a/internal/decision/scheduler/endpoint_list_test.go
+++ b/internal/decision/scheduler/endpoint_list_test.go
@@ -71,6 +71,30 @@
 	}
 }
 
+// TestOverriddenEndpointsKeepPollScheduled checks that a suspension changes neither when the endpoint list is polled
+// after a failure nor that it is not polled while a watch runs.
+func TestOverriddenEndpointsKeepPollScheduled(t *testing.T) {
+	settings := testSettings()
+	settings.PollEndpoints = true
+	settings.MaxStaleness = 10000
+	h := newHarness(t, settings)
+	h.listFleet(UpdateCached)
+	suspended := []Endpoint{{Replica: 1, Cell: 0, State: Draining}}
+	h.updateEndpoints(UpdateFailed)
+	h.runRound()
+	h.scheduler.EndpointsOverridden(h.now, suspended)
+	before := h.polls
+	h.advance(pollBackoffMaxMs, nil)
+	assert.Equal(t, before+1, h.polls, "the poll after a failure")
+
+	h.updateEndpoints(UpdateDelta)
+	h.scheduler.EndpointsOverridden(h.now, suspended)
+	h.runRound()
+	before = h.polls
+	h.advance(20000, nil)
+	assert.Equal(t, before, h.polls, "polled while a watch runs")
+}
+
 // TestRecoversFromStaleListWithSpentRetryBudget checks that queries are answered again soon after an update names the
 // new processes of replicas, although failures at the old processes have spent the retry budget.
 func TestRecoversFromStaleListWithSpentRetryBudget(t *testing.T) {
