flight: log how a call to a backend ended and what is concluded from it

The log did not tell whether the backend rejected the part, gRPC made a status of its own, gRPC retried, or the scheduler hedged or reassigned.

A handler of gRPC's statistics records for each call whether the header of an answer and the backend's end of the call have arrived.

--- a/internal/transport/flight/attempt.go
+++ b/internal/transport/flight/attempt.go
@@ -9,6 +9,8 @@
 	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/array"
 	"github.com/apache/arrow-go/v18/arrow/flight"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/status"
 
 	"ternstage/internal/core"
 	"ternstage/internal/decision/scheduler"
@@ -38,9 +40,14 @@
 	remaining   time.Duration      // until the deadline
 	startWindow time.Duration      // within which the call must start; otherwise the attempt is aborted
 
+	// end records how the call ended.
+	end *callEnd
+
 	// backendEpoch is the epoch of the backend's shard map if the backend does not hold the shard; 0 otherwise. Only
 	// the goroutine uses it until the outcome is posted.
 	backendEpoch uint64
+	// callErr is the error with which the call ended, or nil. It is used like backendEpoch.
+	callErr error
 }
 
 // discard cancels an attempt whose outcome is no longer wanted. It runs on the loop.
@@ -74,10 +81,22 @@
 	if outcome == scheduler.Succeeded {
 		connection.succeededAttempts++
 	}
+	if attempt.callErr != nil {
+		c.logFailedCall(attempt, outcome)
+	}
 	attempt.BackendEpoch = attempt.backendEpoch
 	c.core.AttemptEnded(attempt.Attempt, outcome, value)
 }
 
+// logFailedCall logs a call that ended with an error, and what is concluded from it.
+func (c *BackendClient) logFailedCall(attempt *attempt, outcome scheduler.Outcome) {
+	begun, completed := attempt.end.progress()
+	c.log.Info("Flight call failed", zap.String("peer", attempt.connection.address),
+		zap.String("status", status.Code(attempt.callErr).String()), zap.Error(attempt.callErr),
+		zap.Bool("answer_begun", begun), zap.Bool("ended_by_backend", completed),
+		zap.Bool("never_ran", outcome == scheduler.Rejected || outcome == scheduler.NotHolder))
+}
+
 // run waits for the connection and makes the call. If the connection is not established within the start window, the
 // attempt is aborted.
 func (a *attempt) run(ctx context.Context) (scheduler.Outcome, []byte) {
@@ -102,10 +121,13 @@
 	if err != nil {
 		return scheduler.NotSent, nil
 	}
-	stream, err := a.connection.client.DoGet(ctx, &flight.Ticket{Ticket: ticket})
+	stream, err := a.connection.client.DoGet(withCallEnd(ctx, a.end), &flight.Ticket{Ticket: ticket})
 	if err != nil {
 		return a.callOutcome(err), nil
 	}
+	// Waits until the answer begins or the call ends without one. In the latter case this records the status before
+	// anything else of a malformed response is read.
+	_, _ = stream.Header()
 	reader, err := flight.NewRecordReader(stream)
 	if err != nil {
 		return a.callOutcome(err), nil
--- a/internal/transport/flight/backend_client.go
+++ b/internal/transport/flight/backend_client.go
@@ -59,7 +59,7 @@
 
 // Send implements core.Transport. It queues the attempt for the next Flush.
 func (c *BackendClient) Send(coreAttempt *core.Attempt) {
-	attempt := &attempt{Attempt: coreAttempt}
+	attempt := &attempt{Attempt: coreAttempt, end: &callEnd{}}
 	coreAttempt.Handle = attempt
 	c.unflushed = append(c.unflushed, attempt)
 }
--- a/internal/transport/flight/backend_connection.go
+++ b/internal/transport/flight/backend_connection.go
@@ -64,6 +64,7 @@
 		grpc.WithIdleTimeout(fromMs(c.options.IdleTimeoutMs*idleCloseRatio)),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxAnswerBytes)),
 		grpc.WithNoProxy(),
+		grpc.WithStatsHandler(callEndRecorder{}),
 	)
 	if err != nil {
 		c.log.ConnectionEnded(logs.FlightBackendClosed, address, 0, err)
--- a/internal/transport/flight/outcome.go
+++ b/internal/transport/flight/outcome.go
@@ -14,6 +14,7 @@
 // callOutcome returns the outcome of an attempt whose call ended with err. For NotHolder it also sets backendEpoch.
 // It runs on the attempt's goroutine.
 func (a *attempt) callOutcome(err error) scheduler.Outcome {
+	a.callErr = err
 	if a.Epoch > 0 {
 		if epoch, ok := parseNotHolder(err); ok {
 			a.backendEpoch = epoch
