flight: only a status that the backend sent in place of an answer is a rejection

Cause: each RESOURCE_EXHAUSTED counted as the backend's word that the part did not run. The client side of gRPC makes that status itself for an answer over 256 KiB, and for streams reset with ENHANCE_YOUR_CALM or FLOW_CONTROL_ERROR.

Fix: a status proves that a part did not run only if the backend ended the call by its trailers and no response header came before (Trailers-Only). The rule holds for RESOURCE_EXHAUSTED and for FAILED_PRECONDITION with MOVED. No limit is changed. A backend that sends headers and then rejects is not believed. Looked at: the three places where a call can end share callOutcome; the four sources of RESOURCE_EXHAUSTED in gRPC; ConnectFailed and NotSent, which are decided before a call starts; the Flight front; frames, where an answer over the limit fails already (now in the fault suite for both protocols).

Tests: in TestOutcomeOfError and TestNotHolder the statuses now come with the end of a call, as a status alone is no proof; the rows that took a bare RESOURCE_EXHAUSTED for a rejection moved to TestStatusAsProof, which also has the four cases in which it is none.

--- a/internal/transport/flight/backend_client_test.go
+++ b/internal/transport/flight/backend_client_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"github.com/apache/arrow-go/v18/arrow/memory"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -29,6 +32,7 @@
 	err     error
 	values  []string
 	stalled bool
+	after   error // ends the call once the schema of the answer has been sent
 	tickets chan backendTicket
 	ended   chan struct{} // one for each call that ended while the backend was stalled
 }
@@ -56,6 +60,10 @@
 	record := builder.NewRecordBatch()
 	defer record.Release()
 	writer := flight.NewRecordWriter(stream, ipc.WithSchema(schema))
+	if b.after != nil {
+		_ = writer.Close()
+		return b.after
+	}
 	if err := writer.Write(record); err != nil {
 		return err
 	}
@@ -133,6 +141,10 @@
 		{"an invalid value", testBackend{values: []string{"\xff"}}, attemptResult{outcome: scheduler.Failed}},
 		{"an error", testBackend{err: status.Error(codes.Internal, "")}, attemptResult{outcome: scheduler.Failed}},
 		{"rejected", testBackend{err: status.Error(codes.ResourceExhausted, "")}, attemptResult{outcome: scheduler.Rejected}},
+		{"rejected after the answer has begun", testBackend{after: status.Error(codes.ResourceExhausted, "")},
+			attemptResult{outcome: scheduler.Failed}},
+		{"an answer over the size limit", testBackend{values: []string{strings.Repeat("x", maxAnswerBytes)}},
+			attemptResult{outcome: scheduler.Failed}},
 		{"reset", testBackend{err: status.Error(codes.Unavailable, "")}, attemptResult{outcome: scheduler.ConnectionReset}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -147,6 +159,67 @@
 	}
 }
 
+// TestResetIsNoRejection has a backend reset the stream of a call that has reached it. The part may have run, also for
+// the codes that gRPC reports as RESOURCE_EXHAUSTED, the status of a rejection.
+func TestResetIsNoRejection(t *testing.T) {
+	for code, want := range map[http2.ErrCode]scheduler.Outcome{
+		http2.ErrCodeEnhanceYourCalm: scheduler.Failed,
+		http2.ErrCodeFlowControl:     scheduler.Failed,
+		http2.ErrCodeInternal:        scheduler.Failed,
+		http2.ErrCodeCancel:          scheduler.ConnectionReset,
+	} {
+		t.Run(code.String(), func(t *testing.T) {
+			client := newClientFixture(t, serveResets(t, code))
+			client.send(t)
+			assert.Equal(t, attemptResult{outcome: want}, receive(t, client.results))
+		})
+	}
+}
+
+// serveResets starts a server that resets the stream of each call with a code, and returns its address.
+func serveResets(t *testing.T, code http2.ErrCode) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", loopback.Own())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go resetStreams(connection, code)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// resetStreams serves one HTTP/2 connection until it ends. It resets each stream once its request has arrived.
+func resetStreams(connection net.Conn, code http2.ErrCode) {
+	defer func() { _ = connection.Close() }()
+	if _, err := io.ReadFull(connection, make([]byte, len(http2.ClientPreface))); err != nil {
+		return
+	}
+	framer := http2.NewFramer(connection, connection)
+	_ = framer.WriteSettings()
+	for {
+		frame, err := framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		switch frame := frame.(type) {
+		case *http2.SettingsFrame:
+			if !frame.IsAck() {
+				_ = framer.WriteSettingsAck()
+			}
+		case *http2.DataFrame:
+			if frame.StreamEnded() {
+				_ = framer.WriteRSTStream(frame.StreamID, code)
+			}
+		}
+	}
+}
+
 func TestAttemptWithoutConnection(t *testing.T) {
 	refusingAddress, err := loopback.Free()
 	require.NoError(t, err)
--- a/internal/transport/flight/call_end.go
+++ b/internal/transport/flight/call_end.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
 )
 
 // callEnd records how a call to a backend ended. The client side of gRPC also makes statuses itself, for example
@@ -12,8 +13,20 @@
 // therefore does not tell what the backend has said. gRPC updates a callEnd on its own goroutines.
 type callEnd struct {
 	mu        sync.Mutex
-	begun     bool // the answer has begun: its header has arrived
-	completed bool // the backend has ended the call by sending trailers
+	begun     bool           // the answer has begun: its header has arrived
+	completed bool           // the backend has ended the call by sending trailers
+	status    *status.Status // of the whole call; nil until it has ended
+}
+
+// immediateStatus returns the status with which the backend ended the call in place of an answer (a Trailers-Only
+// response). It returns nil if the answer had begun, or if the status is not the backend's.
+func (e *callEnd) immediateStatus() *status.Status {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.begun || !e.completed {
+		return nil
+	}
+	return e.status
 }
 
 // progress reports how far the call has come: whether its answer has begun, and whether the backend has ended it.
@@ -27,11 +40,13 @@
 func (e *callEnd) record(event stats.RPCStats) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch event.(type) {
+	switch event := event.(type) {
 	case *stats.InHeader:
 		e.begun = true
 	case *stats.InTrailer:
 		e.completed = true
+	case *stats.End:
+		e.status = status.Convert(event.Error)
 	}
 }
 
--- a/internal/transport/flight/outcome.go
+++ b/internal/transport/flight/outcome.go
@@ -12,11 +12,16 @@
 )
 
 // callOutcome returns the outcome of an attempt whose call ended with err. For NotHolder it also sets backendEpoch.
-// It runs on the attempt's goroutine.
+// Only a status that the backend sent in place of an answer proves that the part did not run; any other end of the
+// call does not, whatever its status. It runs on the attempt's goroutine.
 func (a *attempt) callOutcome(err error) scheduler.Outcome {
 	a.callErr = err
+	immediate := a.end.immediateStatus()
+	if immediate.Code() == codes.ResourceExhausted {
+		return scheduler.Rejected
+	}
 	if a.Epoch > 0 {
-		if epoch, ok := parseNotHolder(err); ok {
+		if epoch, ok := parseNotHolder(immediate); ok {
 			a.backendEpoch = epoch
 			return scheduler.NotHolder
 		}
@@ -24,11 +29,10 @@
 	return outcomeOfError(err)
 }
 
-// parseNotHolder reports whether err says that the backend does not hold the shard, and returns the epoch of the
-// backend's shard map.
-func parseNotHolder(err error) (uint64, bool) {
-	callStatus, ok := status.FromError(err)
-	if !ok || callStatus.Code() != codes.FailedPrecondition {
+// parseNotHolder reports whether a backend's status says that the backend does not hold the shard, and returns the
+// epoch of the backend's shard map.
+func parseNotHolder(callStatus *status.Status) (uint64, bool) {
+	if callStatus.Code() != codes.FailedPrecondition {
 		return 0, false
 	}
 	for _, detail := range callStatus.Details() {
@@ -44,16 +48,14 @@
 	return 0, false
 }
 
-// outcomeOfError returns the outcome of a started call that ended with err. Only a rejection by the backend proves
-// that the part did not run. If err has no gRPC status, the stream ended early or is malformed.
+// outcomeOfError returns the outcome of a started call that ended with err and without a proof that the part did not
+// run. If err has no gRPC status, the stream ended early or is malformed.
 func outcomeOfError(err error) scheduler.Outcome {
 	var withStatus interface{ GRPCStatus() *status.Status }
 	if !errors.As(err, &withStatus) {
 		return scheduler.ConnectionReset
 	}
 	switch withStatus.GRPCStatus().Code() {
-	case codes.ResourceExhausted:
-		return scheduler.Rejected
 	case codes.DeadlineExceeded:
 		return scheduler.TimedOut
 	case codes.Unavailable, codes.Canceled:
--- a/internal/transport/flight/outcome_test.go
+++ b/internal/transport/flight/outcome_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 
 	"ternstage/internal/core"
@@ -23,8 +24,8 @@
 	}{
 		{"the stream ended without an error", nil, scheduler.ConnectionReset},
 		{"the stream ended early", io.ErrUnexpectedEOF, scheduler.ConnectionReset},
-		{"rejected", status.Error(codes.ResourceExhausted, ""), scheduler.Rejected},
-		{"wrapped", fmt.Errorf("read: %w", status.Error(codes.ResourceExhausted, "")), scheduler.Rejected},
+		{"a limit of the client", status.Error(codes.ResourceExhausted, ""), scheduler.Failed},
+		{"wrapped", fmt.Errorf("read: %w", status.Error(codes.DeadlineExceeded, "")), scheduler.TimedOut},
 		{"timed out", status.Error(codes.DeadlineExceeded, ""), scheduler.TimedOut},
 		{"unavailable", status.Error(codes.Unavailable, ""), scheduler.ConnectionReset},
 		{"cancelled", status.Error(codes.Canceled, ""), scheduler.ConnectionReset},
@@ -42,6 +43,41 @@
 	return statusWithDetail(code, "", &errdetails.ErrorInfo{Reason: reason, Metadata: map[string]string{"epoch": epoch}})
 }
 
+// endOf returns the end of a call with a status error, after the given events of the call.
+func endOf(err error, events ...stats.RPCStats) *callEnd {
+	end := &callEnd{}
+	for _, event := range append(events, &stats.End{Error: err}) {
+		end.record(event)
+	}
+	return end
+}
+
+// TestStatusAsProof checks that a status proves that the part did not run only if the backend sent it in place of an
+// answer. gRPC makes the same statuses itself, for example for an answer that is too large.
+func TestStatusAsProof(t *testing.T) {
+	rejected := status.Error(codes.ResourceExhausted, "")
+	notHolder := notHolderError(t, codes.FailedPrecondition, "MOVED", "18")
+	header, trailer := &stats.InHeader{}, &stats.InTrailer{}
+	for _, c := range []struct {
+		name    string
+		err     error
+		events  []stats.RPCStats
+		outcome scheduler.Outcome
+	}{
+		{"rejected", rejected, []stats.RPCStats{trailer}, scheduler.Rejected},
+		{"answer begun, then rejected", rejected, []stats.RPCStats{header, trailer}, scheduler.Failed},
+		{"answer begun, then a limit of the client", rejected, []stats.RPCStats{header}, scheduler.Failed},
+		{"reset by the backend", rejected, nil, scheduler.Failed},
+		{"not the holder", notHolder, []stats.RPCStats{trailer}, scheduler.NotHolder},
+		{"answer begun, then not the holder", notHolder, []stats.RPCStats{header, trailer}, scheduler.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			attempt := &attempt{Attempt: &core.Attempt{Epoch: 17}, end: endOf(c.err, c.events...)}
+			assert.Equal(t, c.outcome, attempt.callOutcome(c.err))
+		})
+	}
+}
+
 func TestNotHolder(t *testing.T) {
 	for _, c := range []struct {
 		name         string
@@ -60,7 +96,7 @@
 		{"no error", 17, nil, scheduler.ConnectionReset, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			attempt := &attempt{Attempt: &core.Attempt{Epoch: c.attemptEpoch}}
+			attempt := &attempt{Attempt: &core.Attempt{Epoch: c.attemptEpoch}, end: endOf(c.err, &stats.InTrailer{})}
 			assert.Equal(t, c.outcome, attempt.callOutcome(c.err))
 			assert.Equal(t, c.backendEpoch, attempt.backendEpoch)
 		})
--- a/test/backends_test.go
+++ b/test/backends_test.go
@@ -47,6 +47,7 @@
 	rejectWhenReleased   // rejects the part once the test closes release
 	truncateWhenReleased // sends half a line of the answer once the test closes release
 	answerMalformed      // sends a malformed answer and keeps the connection
+	answerTooLarge       // sends an answer over every size limit and keeps the connection
 	answerTwice          // sends the answer twice, followed by noise
 	answerRaw            // sends the bytes of rawAnswer
 )
@@ -167,6 +168,9 @@
 	b.frameLog = append(b.frameLog, f)
 }
 
+// tooLarge is a document over the size limits of answers, of 80 KiB over frames and 256 KiB over Flight.
+var tooLarge = strings.Repeat("x", 300<<10)
+
 // documentOf returns the document with which a backend answers the part of an id.
 func documentOf(id string) string { return "doc of " + id }
 
@@ -388,6 +392,8 @@
 		_ = c.Close()
 	case answerMalformed:
 		_, _ = c.Write(encodeFrame('A', s.id+" ? 17 -\n"+documentOf(s.id)))
+	case answerTooLarge:
+		_, _ = c.Write(encodeFrame('A', s.id+" ok 17 -\n"+tooLarge))
 	case answerTwice:
 		_, _ = c.Write(append(append(ok, ok...), "\x8a\xef\x98"...))
 	case answerRaw:
@@ -444,11 +450,14 @@
 	}
 	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
 	defer b.Release()
-	if value := documentOf(q.ID); d == answerMalformed {
-		b.Field(0).(*array.BinaryBuilder).Append([]byte("\xff" + value))
-	} else {
-		b.Field(0).(*array.BinaryBuilder).Append([]byte(value))
+	value := documentOf(q.ID)
+	switch d {
+	case answerMalformed:
+		value = "\xff" + value
+	case answerTooLarge:
+		value = tooLarge
 	}
+	b.Field(0).(*array.BinaryBuilder).Append([]byte(value))
 	rec := b.NewRecordBatch()
 	defer rec.Release()
 	if err := w.Write(rec); err != nil {
