httpfront: a queued query is answered when its client's time is up

The queue of queries bounds what a usual query waits, but a large one among many large ones could still wait longer than its client, and get its final answer later than half a second after its time: that counts as lost. On one core shared with four busy loops large queries waited for 1.8 s.

The check of the connections' time limits, every 200 ms, now answers 503 with Retry-After to queries whose time has passed in the queue, without parsing them; nothing of them has run. The envelope is parsed before the queue, so that its errors are answered at once as before.

--- a/internal/transport/httpfront/query.go
+++ b/internal/transport/httpfront/query.go
@@ -31,11 +31,7 @@
 // trySubmit submits a query to core. If it returns an error, nothing was submitted. Core may call Deliver before
 // trySubmit returns.
 func (c *connection) trySubmit(query *queuedQuery) error {
-	envelope, err := parseEnvelope(query.request)
-	if err != nil {
-		return err
-	}
-	coreRequest, err := c.server.contracts.ParseQuery(envelope, query.request.body, query.arrivedAtMs)
+	coreRequest, err := c.server.contracts.ParseQuery(query.envelope, query.body, query.arrivedAtMs)
 	if err != nil {
 		return err
 	}
--- a/internal/transport/httpfront/query_queue.go
+++ b/internal/transport/httpfront/query_queue.go
@@ -1,31 +1,48 @@
 package httpfront
 
-import "slices"
+import (
+	"slices"
+
+	"ternstage/internal/contract"
+)
 
 // queuedQuery is a query that has arrived and waits in the loop's queue until it is parsed and submitted.
 type queuedQuery struct {
-	request       *httpRequest
+	envelope      contract.Envelope
+	body          []byte
 	arrivedAtMs   float64 // from here on its client's time counts
 	bufferedBytes int     // size of the buffer that holds its body
 }
 
+// hasExpired reports whether its client's time is up. A query with an invalid timeout does not expire: it is rejected
+// when it is parsed.
+func (q *queuedQuery) hasExpired(nowMs float64) bool {
+	return q.envelope.ClientTimeout > 0 && nowMs >= q.arrivedAtMs+q.envelope.ClientTimeout
+}
+
 // queueQuery takes the query at the beginning of the input, of sizeBytes, out of the input and queues it. The queue
 // keeps large queries from holding up small ones (see loop.Loop.Enqueue). A large query is answered 503 instead if the
 // connections buffer too much.
 func (c *connection) queueQuery(request *httpRequest, sizeBytes int) {
-	if c.server.isOverBufferShare(sizeBytes) {
-		c.reject(errQueueLimit)
+	envelope, err := parseEnvelope(request)
+	if err == nil && c.server.isOverBufferShare(sizeBytes) {
+		err = errQueueLimit
+	}
+	if err != nil {
+		c.reject(err)
 		return
 	}
 	c.ending.closeAfterOutput = request.closeRequested
-	c.queuedQuery = &queuedQuery{
-		request:       request,
+	query := &queuedQuery{
+		envelope:      envelope,
+		body:          request.body,
 		arrivedAtMs:   c.server.loop.Now(),
 		bufferedBytes: cap(c.stream.In),
 	}
+	c.queuedQuery = query
 	c.stream.In = slices.Clone(c.stream.In[sizeBytes:]) // the body aliases the old buffer
 	c.incoming.beganAtMs = c.server.loop.Now()
-	c.server.loop.Enqueue(sizeBytes, c.serveQueued)
+	c.server.loop.Enqueue(sizeBytes, func() { c.serveQueued(query) })
 }
 
 // isOverBufferShare reports whether a query of sizeBytes must not be queued: the connections buffer more than the
@@ -34,14 +51,22 @@
 	return s.bufferedBytes > s.maxBufferedBytes && sizeBytes > s.maxBufferedBytes/s.maxConnections
 }
 
-// serveQueued submits the queued query, unless its client has disconnected. It then serves the requests behind an
-// answered one. It may close the connection.
-func (c *connection) serveQueued() {
-	query := c.queuedQuery
-	if query == nil {
+// serveQueued submits a queued query, unless its client has disconnected or its time was up. It then serves the
+// requests behind an answered one. It may close the connection.
+func (c *connection) serveQueued(query *queuedQuery) {
+	if c.queuedQuery != query {
 		return
 	}
 	c.queuedQuery = nil
 	c.submit(query)
 	c.flush()
 }
+
+// rejectExpired answers a queued query whose client's time is up. Nothing of it has run.
+func (c *connection) rejectExpired() {
+	c.queuedQuery = nil
+	response := errorResponse(errRejected)
+	response.retryAfterMs = overloadRetryAfterMs
+	c.respond(response)
+	c.flush()
+}
--- a/internal/transport/httpfront/query_queue_test.go
+++ b/internal/transport/httpfront/query_queue_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -78,6 +79,41 @@
 	assert.Empty(t, f.disconnected)
 }
 
+// fillQueue queues work of the same size class as query that takes a time in ms, and does so before any query that
+// arrives later. It must be called on the loop.
+func (f *serverFixture) fillQueue(durationMs float64) {
+	const pieceMs = 10.0
+	for range int(durationMs / pieceMs) {
+		f.loop.Enqueue(len(query), func() {
+			for end := f.loop.ReadClock() + pieceMs; f.loop.ReadClock() < end; {
+				continue
+			}
+		})
+	}
+}
+
+// TestQueuedQueryIsAnsweredWhenItsTimeIsUp checks that a query gets its final answer soon after its client's time, also
+// if it could not be parsed by then, and that it is not submitted later.
+func TestQueuedQueryIsAnsweredWhenItsTimeIsUp(t *testing.T) {
+	f := startServer(t, Options{MaxConnections: 8, MaxBufferedBytes: 1 << 20})
+	connection := f.dial(t)
+	sentAt := time.Now()
+	f.onLoop(func() {
+		f.fillQueue(1500)
+		send(t, connection, strings.Replace(query, "Deadline: 1.5", "Deadline: 0.3\r\nConnection: close", 1))
+	})
+	answer := readAll(t, connection)
+	elapsed := time.Since(sentAt)
+	assert.True(t, strings.HasPrefix(answer, "HTTP/1.1 503"), answer)
+	assert.Contains(t, answer, "Retry-After: ")
+	assert.GreaterOrEqual(t, elapsed, 300*time.Millisecond)
+	assert.Less(t, elapsed, 800*time.Millisecond, "half a second after its time a query without an answer is lost")
+	done := make(chan struct{})
+	f.onLoop(func() { f.loop.Enqueue(len(query), func() { close(done) }) })
+	<-done
+	assert.Empty(t, f.submitted)
+}
+
 // TestTimeOfQueuedQueryCountsFromItsArrival checks that the time in the queue counts against the client's timeout.
 func TestTimeOfQueuedQueryCountsFromItsArrival(t *testing.T) {
 	f := startServer(t, Options{MaxConnections: 8, MaxBufferedBytes: 1 << 20})
@@ -85,14 +121,7 @@
 	var arrivedAt float64
 	f.onLoop(func() {
 		arrivedAt = f.loop.ReadClock()
-		const pieces, pieceMs = 50, 10.0 // of other work in the queue
-		for range pieces {
-			f.loop.Enqueue(len(query), func() {
-				for end := f.loop.ReadClock() + pieceMs; f.loop.ReadClock() < end; {
-					continue
-				}
-			})
-		}
+		f.fillQueue(500)
 		send(t, connection, query)
 	})
 	submitted := f.waitRequest(t, f.submitted)
--- a/internal/transport/httpfront/timeouts.go
+++ b/internal/transport/httpfront/timeouts.go
@@ -23,7 +23,8 @@
 
 // enforceTimeouts ends the connections that exceed a time limit. This protects descriptors and memory from clients
 // that send nothing or half a request, or do not read their answers. Such a client must get an answer or a close
-// within 3 s. Queries that have arrived have a deadline and are not limited here.
+// within 3 s. Queries that were submitted to core have a deadline there; those that wait in the queue are answered when
+// their clients' time is up.
 func (s *Server) enforceTimeouts() {
 	nowMs := s.loop.Now()
 	for c := range s.connections {
@@ -40,6 +41,8 @@
 		if inactiveMs > lingerTimeoutMs {
 			c.close(c.ending.lingerCode, nil)
 		}
+	case c.queuedQuery != nil && c.queuedQuery.hasExpired(nowMs):
+		c.rejectExpired()
 	case c.isServing():
 	case len(c.stream.Out) > 0:
 		if inactiveMs > writeTimeoutMs {
