--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -97,11 +97,21 @@
 	os.Exit(run(cases[os.Args[1]], os.Args[2]))
 }
 
+// longest is the longest time of a run; a case needs 24 s at most.
+const longest = 110 * time.Second
+
 // cases are the cases of this review by name.
 var cases = map[string]func(*world){}
 
 func run(play func(*world), folder string) (code int) {
 	w := newWorld(folder)
+	time.AfterFunc(longest, func() {
+		w.note("could not run: not done within %v", longest)
+		for _, b := range w.brokers {
+			_ = b.command.Process.Kill()
+		}
+		os.Exit(2)
+	})
 	defer func() {
 		if failure := recover(); failure != nil {
 			w.end()
