test: the shard catalogue of the tests compares index, so that no publication is lost

Cause: shardCatalogue kept every watch waiting for the next publication and forgot index. A watch that arrived just after publish waited up to its 20 s. The test is stricter than before: every map and every text crosses a watch. The product is unchanged.

--- a/test/resharding_test.go
+++ b/test/resharding_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -46,20 +47,23 @@
 	}
 }
 
-// shardCatalogue simulates the shard catalogue. It answers the document of the test; a string is sent as it is.
+// shardCatalogue simulates the shard catalogue. It answers the document of the test; a string is sent as it is. A watch
+// waits only while its index is the epoch of the document.
 type shardCatalogue struct {
-	addr     string
-	mu       sync.Mutex
-	document any
-	changed  chan struct{}
-	targets  []string
+	addr       string
+	mu         sync.Mutex
+	document   any
+	epoch      uint64        // of the document; 0 for a string
+	watchDelay time.Duration // between the arrival of a watch and its comparison with the epoch
+	changed    chan struct{}
+	targets    []string
 }
 
 // newShardCatalogue starts a catalogue that answers a document.
 func newShardCatalogue(t *testing.T, doc any) *shardCatalogue {
 	ln, err := net.Listen("tcp", loopback.Own())
 	require.NoError(t, err)
-	c := &shardCatalogue{addr: ln.Addr().String(), document: doc, changed: make(chan struct{})}
+	c := &shardCatalogue{addr: ln.Addr().String(), document: doc, epoch: epochOf(doc), changed: make(chan struct{})}
 	s := &http.Server{Handler: c}
 	go func() { _ = s.Serve(ln) }()
 	t.Cleanup(func() { _ = s.Close() })
@@ -69,9 +73,18 @@
 func (c *shardCatalogue) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
 	c.targets = append(c.targets, r.URL.RequestURI())
+	delay := c.watchDelay
+	c.mu.Unlock()
+	query := r.URL.Query()
+	isWatch := query.Get("wait") != "" && query.Get("wait") != "0"
+	if isWatch {
+		time.Sleep(delay)
+	}
+	c.mu.Lock()
 	next := c.changed
+	isCurrent := query.Get("index") == strconv.FormatUint(c.epoch, 10)
 	c.mu.Unlock()
-	if strings.Contains(r.URL.RawQuery, "wait=") && !strings.Contains(r.URL.RawQuery, "wait=0") {
+	if isWatch && isCurrent {
 		select {
 		case <-next:
 		case <-r.Context().Done():
@@ -92,10 +105,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.document = doc
+	c.epoch = epochOf(doc)
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
+// epochOf returns the epoch of a catalogue's document, or 0 if it is text.
+func epochOf(document any) uint64 {
+	if d, ok := document.(shardcatalog.Document); ok {
+		return d.Epoch
+	}
+	return 0
+}
+
 // shardMap returns a map of 8 shards of 10 buckets, with 3 replicas each.
 func shardMap(epoch uint64) shardcatalog.Document {
 	d := shardcatalog.Document{Epoch: epoch, Complete: true, Buckets: 80}
@@ -128,6 +150,7 @@
 // complete map must be requested.
 func TestRejectedShardMap(t *testing.T) {
 	c := newShardCatalogue(t, shardMap(5))
+	c.watchDelay = 30 * time.Millisecond // each map is published while a watch is on its way
 	operator := filepath.Join(t.TempDir(), "operator.jsonnet")
 	cache := filepath.Join(t.TempDir(), "map.json")
 	write := func() {
