httpfront: one request of a connection per turn in the loop's queue

What callers saw: 53 and 54 of 60 queries late or lost while 200 clients pipelined 900 GETs each. Cause: one event served all requests in the input that are not queries, up to 88 KiB and again while the answers could be written. Evidence: the new field longest_event_ms, 5 to 15 ms an event, wake-ups of up to 755 ms. Ruled out: unfair polls, parsing of queries, repeated polls. Fix: one event reads at most 64 KiB and parses one request; all other requests wait for a turn in the loop's queue, one a turn. Related paths: input of backends, Stream.Read, accepts for an event, closes that no read reaches (EPOLLRDHUP), bodies of dropped queries, arrival of pipelined queries.

--- a/cmd/ternstage/broker.go
+++ b/cmd/ternstage/broker.go
@@ -82,7 +82,7 @@
 // the process was held up.
 func (b *broker) logRoundDelay(delay loop.RoundDelay) {
 	b.log.Warn("scheduling round delayed", zap.Float64("delay_ms", delay.DelayMs), zap.Int("polls", delay.Polls),
-		zap.Int("events", delay.Events))
+		zap.Int("events", delay.Events), zap.Float64("longest_event_ms", delay.LongestEventMs))
 }
 
 // onClose registers a function that close calls. Functions that are registered later are called earlier.
--- a/internal/transport/backendpool/connection.go
+++ b/internal/transport/backendpool/connection.go
@@ -69,31 +69,28 @@
 	c.pool.armTimer()
 }
 
-// read reads the input, handles its frames, and returns false if the connection was closed. It handles complete
-// frames even if the backend closed or reset the connection after them.
+// read reads up to maxUnparsedBytes of input, handles its frames, and returns false if the connection was closed. It
+// handles complete frames even if the backend closed or reset the connection after them. The loop reports input that is
+// left as another event, so that a backend that sends continuously does not hold up other connections.
 func (c *connection) read() (open bool) {
-	for {
-		unparsedBytes := len(c.stream.In)
-		eof, err := c.stream.Read(maxUnparsedBytes)
-		if len(c.stream.In) > unparsedBytes {
-			c.lastReceivedAt = c.pool.loop.Now()
-		}
-		c.peerClosed = eof || err != nil
-		bufferFull := len(c.stream.In) == maxUnparsedBytes // the kernel may have more input
-		ok := c.handleFrames()
-		switch {
-		case !ok:
-			return false
-		case err != nil:
-			c.close(logs.BackendReset, err)
-			return false
-		case eof:
-			c.close(logs.BackendClosed, nil)
-			return false
-		case !bufferFull:
-			return true
-		}
+	unparsedBytes := len(c.stream.In)
+	eof, err := c.stream.Read(maxUnparsedBytes)
+	if len(c.stream.In) > unparsedBytes {
+		c.lastReceivedAt = c.pool.loop.Now()
+	}
+	c.peerClosed = eof || err != nil
+	if ok := c.handleFrames(); !ok {
+		return false
 	}
+	switch {
+	case err != nil:
+		c.close(logs.BackendReset, err)
+		return false
+	case eof:
+		c.close(logs.BackendClosed, nil)
+		return false
+	}
+	return true
 }
 
 // handleFrames handles the complete frames in the input. If a frame is malformed, it closes the connection and
--- a/internal/transport/httpfront/accept.go
+++ b/internal/transport/httpfront/accept.go
@@ -14,9 +14,9 @@
 	// acceptPauseMs is how long, in milliseconds, the server stops accepting when no descriptor is free. The listener
 	// stays readable meanwhile, so that waiting for it would make the event loop spin.
 	acceptPauseMs = 50.0
-	// maxAcceptsPerWakeUp is the maximum number of connections accepted in one wake-up of the event loop, so that
+	// maxAcceptsPerWakeUp is the maximum number of connections accepted for one event of the listener, so that
 	// established connections are not kept waiting.
-	maxAcceptsPerWakeUp = 256
+	maxAcceptsPerWakeUp = 64
 )
 
 // Ready implements loop.Handler: it accepts the queued connections.
--- a/internal/transport/httpfront/close.go
+++ b/internal/transport/httpfront/close.go
@@ -15,6 +15,7 @@
 	code := logs.ClientDisconnectedIdle
 	if c.queuedQuery != nil {
 		code = logs.ClientDisconnectedInRequest
+		c.queuedQuery.drop()
 		c.queuedQuery = nil
 	}
 	if request := c.openRequest; request != nil {
@@ -66,6 +67,8 @@
 	c.ending.closed = true
 	delete(c.server.connections, c)
 	c.stream.Close()
+	c.stream.In = nil // the loop's queue may refer to the connection
+	c.stream.Out = nil
 	c.updateBufferedBytes()
 	switch {
 	case c.ending.timedOut:
--- a/internal/transport/httpfront/connection.go
+++ b/internal/transport/httpfront/connection.go
@@ -18,6 +18,7 @@
 	peer   string       // address, for the log
 
 	incoming    incomingRequest
+	turnQueued  bool          // serveNext is in the loop's queue
 	queuedQuery *queuedQuery  // has arrived and waits in the loop's queue; later requests wait in the input
 	openRequest *core.Request // submitted and not answered; later requests wait in the input
 
@@ -31,16 +32,23 @@
 // incomingRequest is the state of the request at the beginning of the input.
 type incomingRequest struct {
 	parser       requestParser
-	beganAtMs    float64 // time of its first byte; for the first request, of the accept
-	continueSent bool    // 100 Continue was sent for it
-	servingBytes int     // its size while it is being served and is still in the input; 0 at other times
+	beganAtMs    float64      // time of its first byte; for the first request, of the accept
+	receivedAtMs float64      // time at which input was last read
+	continueSent bool         // 100 Continue was sent for it
+	isIncomplete bool         // the input that has arrived is parsed, and the request's rest is missing
+	parsed       *httpRequest // it, while it is not a query and waits for its turn; nil at other times
+	parsedBytes  int          // size of parsed in the input
+	servingBytes int          // its size while it is being served and is still in the input; 0 at other times
 }
 
 // connectionEnding records how and why a connection ends.
 type connectionEnding struct {
 	// closeAfterOutput reports whether the connection ends once its output is sent. Further input is discarded.
 	closeAfterOutput bool
-	// receivedEOF reports whether the client has ended its side, that is, whether its FIN has been received.
+	// peerClosed reports whether the client has ended its side, that is, whether its FIN has been received. Input may
+	// be left to read. The client of a query counts as disconnected.
+	peerClosed bool
+	// receivedEOF reports whether the input has been read to its end.
 	receivedEOF bool
 	// lingerCode is the reason why the connection lingers; empty if it does not.
 	lingerCode     logs.Code
@@ -65,10 +73,10 @@
 
 // hasPartialRequest reports whether the only thing in progress is a request of which the rest has not arrived.
 func (c *connection) hasPartialRequest() bool {
-	return !c.isServing() && len(c.stream.In) > 0 && len(c.stream.Out) == 0 && !c.ending.isLingering()
+	return !c.isServing() && !c.turnQueued && len(c.stream.In) > 0 && len(c.stream.Out) == 0 && !c.ending.isLingering()
 }
 
-// Ready implements loop.Handler. It reads input, serves requests and sends output.
+// Ready implements loop.Handler. It reads input, queues the requests in it and sends output.
 func (c *connection) Ready(events uint32) {
 	if c.ending.isLingering() {
 		c.discardInput()
@@ -79,11 +87,14 @@
 		c.handleDisconnect(loop.SocketError(c.stream.FD))
 		return
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0 && !c.ending.receivedEOF {
+	if events&unix.EPOLLRDHUP != 0 {
+		c.ending.peerClosed = true
+	}
+	if events&unix.EPOLLIN != 0 && !c.ending.receivedEOF {
 		c.receive()
-		if c.ending.closed {
-			return
-		}
+	}
+	if c.ending.peerClosed && c.isServing() {
+		c.handleDisconnect(nil)
 	}
 	c.flush()
 }
--- a/internal/transport/httpfront/read.go
+++ b/internal/transport/httpfront/read.go
@@ -7,6 +7,12 @@
 	// size, and the framing of its chunks.
 	maxInputBytes = maxHeaderBytes + maxBodyBytes + maxFramingBytes
 
+	// readQuantumBytes is the maximum size in bytes of the input that is read for one event.
+	readQuantumBytes = 64 << 10
+	// maxWaitingBytes is the size in bytes of the input from which no more is read while a complete request in it waits
+	// to be served.
+	maxWaitingBytes = 16 << 10
+
 	// maxFramingBytes is the maximum size in bytes of the framing of a body's chunks. A request that exceeds it is
 	// answered with 413.
 	maxFramingBytes = 8 << 10
@@ -14,7 +20,7 @@
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 )
 
-// receive reads the input that has arrived and serves the requests in it. It may close the connection.
+// receive reads input that has arrived and queues the requests in it. It may close the connection.
 func (c *connection) receive() {
 	if len(c.stream.In) == 0 && c.answeredCount > 0 {
 		c.incoming.beganAtMs = c.server.loop.Now()
@@ -25,20 +31,26 @@
 		return
 	}
 	c.ending.receivedEOF = eof
-	c.serveBuffered()
+	c.ending.peerClosed = c.ending.peerClosed || eof
+	c.incoming.receivedAtMs = c.server.loop.Now()
+	c.incoming.isIncomplete = false
+	if !c.turnQueued && c.canServe() {
+		c.parseRequest()
+	}
 	if eof && !c.ending.closed {
 		c.handleEOF()
 	}
 }
 
-// readInput reads the input that has arrived, up to maxInputBytes. eof reports whether the client has ended its side.
+// readInput reads up to readQuantumBytes of the input that has arrived, and buffers up to maxInputBytes. eof reports
+// whether the client has ended its side.
 //
 // If the input reaches maxInputBytes while a query is being served, that query becomes the last of the connection, and
 // all other input is discarded, which bounds memory. The connection is still read, as a disconnect of the client is
 // noticed only by reading. Noticing it spares backends work for a client that has disconnected.
 func (c *connection) readInput() (eof bool, err error) {
 	if !c.ending.closeAfterOutput {
-		eof, err = c.stream.Read(maxInputBytes)
+		eof, err = c.stream.Read(min(len(c.stream.In)+readQuantumBytes, maxInputBytes))
 		if eof || err != nil || !c.isServing() || len(c.stream.In) < maxInputBytes {
 			return eof, err
 		}
@@ -50,11 +62,13 @@
 }
 
 // handleEOF handles the end of the client's side. If a query is not answered yet, the client is assumed to have
-// disconnected, since a close cannot be told from a shutdown of only the client's sending side.
+// disconnected, since a close cannot be told from a shutdown of only the client's sending side. Other requests that
+// have arrived are answered first.
 func (c *connection) handleEOF() {
 	switch {
 	case c.isServing():
 		c.handleDisconnect(nil)
+	case c.canServe():
 	case len(c.stream.Out) == 0:
 		c.close(logs.ClientDisconnectedIdle, nil)
 	default:
@@ -62,42 +76,77 @@
 	}
 }
 
-// serveBuffered serves the requests in the input, up to the first query or the first request that has not arrived in
-// full. It queues the query. It may close the connection.
-func (c *connection) serveBuffered() {
-	for c.canServe() {
-		request, sizeBytes, err := c.incoming.parser.next(c.stream.In)
-		if err != nil {
-			c.reject(err)
-			return
-		}
-		if sizeBytes == 0 {
-			c.handleIncompleteRequest()
-			return
-		}
+// parseRequest parses the request at the beginning of the input. It queues a query, and the service of any other
+// request.
+func (c *connection) parseRequest() {
+	request, sizeBytes, err := c.incoming.parser.next(c.stream.In)
+	switch {
+	case err != nil:
+		c.reject(err)
+	case sizeBytes == 0:
+		c.handleIncompleteRequest()
+	case request.isQuery():
 		c.incoming.continueSent = false
-		if request.isQuery() {
-			c.queueQuery(request, sizeBytes)
-			continue
-		}
-		c.incoming.servingBytes = sizeBytes
-		c.route(request)
-		c.incoming.servingBytes = 0
-		c.stream.Consume(sizeBytes)
-		c.incoming.beganAtMs = c.server.loop.Now()
+		c.queueQuery(request, sizeBytes)
+	default:
+		c.incoming.continueSent = false
+		c.incoming.parsed = request
+		c.incoming.parsedBytes = sizeBytes
+		c.queueTurn()
+	}
+}
+
+// queueTurn queues the service of the next request if there may be one in the input. Requests wait in the loop's queue
+// rather than being served one after another at once: no connection gets more than one request served while others
+// wait, however many its client has sent.
+func (c *connection) queueTurn() {
+	if c.turnQueued || !c.canServe() {
+		return
+	}
+	c.turnQueued = true
+	c.server.loop.Enqueue(len(c.stream.In), c.serveNext)
+}
+
+// serveNext serves the request at the beginning of the input, or queues it if it is a query. It may close the
+// connection.
+func (c *connection) serveNext() {
+	c.turnQueued = false
+	if !c.canServe() || c.ending.isLingering() {
+		return
 	}
+	if c.incoming.parsed != nil {
+		c.serveParsed()
+	} else {
+		c.parseRequest()
+	}
+	if c.ending.receivedEOF && !c.ending.closed {
+		c.handleEOF()
+	}
+	c.flush()
+}
+
+// serveParsed answers the parsed request.
+func (c *connection) serveParsed() {
+	request := c.incoming.parsed
+	c.incoming.parsed = nil
+	c.incoming.servingBytes = c.incoming.parsedBytes
+	c.route(request)
+	c.stream.Consume(c.incoming.servingBytes)
+	c.incoming.servingBytes = 0
+	c.incoming.beganAtMs = c.server.loop.Now()
 }
 
-// canServe reports whether the next request may be served: there is input, no query is being served, the connection is
-// not ending, and the client reads its answers.
+// canServe reports whether the next request may be served: there is input that is not parsed, no query is being
+// served, the connection is not ending, and the client reads its answers.
 func (c *connection) canServe() bool {
-	return !c.isServing() && !c.ending.closeAfterOutput && !c.ending.closed &&
+	return !c.isServing() && !c.ending.closeAfterOutput && !c.ending.closed && !c.incoming.isIncomplete &&
 		len(c.stream.In) > 0 && len(c.stream.Out) < maxOutputBytes
 }
 
 // handleIncompleteRequest handles a request that has not arrived in full. It rejects the request if there is no space
 // for its rest, and sends 100 Continue once if the client waits for that (RFC 9110, 10.1.1).
 func (c *connection) handleIncompleteRequest() {
+	c.incoming.isIncomplete = true
 	request := c.incoming.parser.request // nil until its header has arrived
 	switch {
 	case len(c.stream.In) >= maxInputBytes:
--- a/internal/transport/httpfront/timeouts.go
+++ b/internal/transport/httpfront/timeouts.go
@@ -48,6 +48,7 @@
 		if inactiveMs > writeTimeoutMs {
 			c.close(logs.ClientRequestTimeout, nil)
 		}
+	case c.turnQueued: // a request has arrived
 	case len(c.stream.In) > 0:
 		if nowMs-c.incoming.beganAtMs > requestTimeoutMs {
 			c.ending.timedOut = true
--- a/internal/transport/httpfront/write.go
+++ b/internal/transport/httpfront/write.go
@@ -43,32 +43,20 @@
 	c.respond(response)
 }
 
-// flush sends the output, and serves requests that had to wait until the client read it. If nothing is left to do, it
-// then ends a connection that is to be closed. Otherwise it sets the events to wait for. It may close the connection.
+// flush sends the output, and queues the requests that had to wait until the client read it. If nothing is left to do,
+// it then ends a connection that is to be closed. Otherwise it sets the events to wait for. It may close the
+// connection.
 func (c *connection) flush() {
 	if c.ending.closed || c.ending.isLingering() {
 		return
 	}
-	for {
-		if err := c.stream.Flush(); err != nil {
-			c.handleDisconnect(err)
-			return
-		}
-		if len(c.stream.Out) > 0 || !c.canServe() {
-			break
-		}
-		inputBytes := len(c.stream.In)
-		c.serveBuffered()
-		if c.ending.closed || c.ending.isLingering() {
-			return
-		}
-		served := len(c.stream.In) < inputBytes || len(c.stream.Out) > 0
-		if !served {
-			break
-		}
+	if err := c.stream.Flush(); err != nil {
+		c.handleDisconnect(err)
+		return
 	}
+	c.queueTurn()
 	c.updateBufferedBytes()
-	isDone := len(c.stream.Out) == 0 && !c.isServing()
+	isDone := len(c.stream.Out) == 0 && !c.isServing() && !c.canServe()
 	if isDone && (c.ending.closeAfterOutput || c.ending.receivedEOF) {
 		c.linger(logs.ClientClosed)
 		return
@@ -78,15 +66,27 @@
 
 // wantedEvents returns the epoll events that the connection waits for. It waits for input only while there is space
 // for it, which protects memory from endless pipelining. While a query is served there always is (see readInput), so
-// that a disconnect of the client is noticed.
+// that a disconnect of the client is noticed. The end of the client's side is awaited also while no input is.
 func (c *connection) wantedEvents() uint32 {
 	events := uint32(0)
-	hasSpace := len(c.stream.In) < maxInputBytes && len(c.stream.Out) < maxOutputBytes
-	if (hasSpace || c.ending.closeAfterOutput) && !c.ending.receivedEOF {
-		events = unix.EPOLLIN | unix.EPOLLRDHUP
+	if (c.hasInputSpace() || c.ending.closeAfterOutput) && !c.ending.receivedEOF {
+		events |= unix.EPOLLIN
+	}
+	if !c.ending.peerClosed {
+		events |= unix.EPOLLRDHUP
 	}
 	if len(c.stream.Out) > 0 {
 		events |= unix.EPOLLOUT
 	}
 	return events
 }
+
+// hasInputSpace reports whether more input may be buffered. Behind input in which requests may be complete, less is
+// buffered than for one request of the maximum size.
+func (c *connection) hasInputSpace() bool {
+	maxBytes := maxInputBytes
+	if c.turnQueued {
+		maxBytes = maxWaitingBytes
+	}
+	return len(c.stream.In) < maxBytes && len(c.stream.Out) < maxOutputBytes
+}
--- a/internal/transport/loop/loop.go
+++ b/internal/transport/loop/loop.go
@@ -149,9 +149,7 @@
 			startedAt = l.now
 		}
 		l.delays.addEvents(l.now, max(count, 0))
-		for _, event := range events[:max(count, 0)] {
-			l.dispatch(event)
-		}
+		l.dispatchAll(events[:max(count, 0)])
 		// Continues without waiting in two cases. A signal, including the SIGCONT that resumes a stopped process,
 		// interrupts the wait before any event is returned. A full batch may leave more events pending.
 		if err == nil && count < eventsPerBatch {
@@ -164,3 +162,14 @@
 	}
 	return nil
 }
+
+// dispatchAll calls the handlers of the events and records the longest time that one took.
+func (l *Loop) dispatchAll(events []unix.EpollEvent) {
+	beganAtMs := l.now
+	for _, event := range events {
+		l.dispatch(event)
+		endedAtMs := l.ReadClock()
+		l.delays.addHandler(endedAtMs - beganAtMs)
+		beganAtMs = endedAtMs
+	}
+}
--- a/internal/transport/loop/round_delay.go
+++ b/internal/transport/loop/round_delay.go
@@ -11,9 +11,10 @@
 
 // RoundDelay describes a wake-up whose scheduling round is delayed, as far as the wake-up has come.
 type RoundDelay struct {
-	DelayMs float64 // since the wake-up began
-	Polls   int     // polls for events
-	Events  int     // events handled
+	DelayMs        float64 // since the wake-up began
+	Polls          int     // polls for events
+	Events         int     // events handled
+	LongestEventMs float64 // of the handler that took the longest time for one event
 }
 
 // roundDelays detects delayed scheduling rounds.
@@ -21,6 +22,7 @@
 	beganAtMs      float64 // when the wake-up began; 0 until its first wait has ended
 	polls          int     // of this wake-up
 	events         int     // of this wake-up
+	longestEventMs float64 // of this wake-up
 	lastReportAtMs float64
 	report         func(RoundDelay) // nil for none
 }
@@ -34,6 +36,7 @@
 	d.beganAtMs = 0
 	d.polls = 0
 	d.events = 0
+	d.longestEventMs = 0
 }
 
 // addEvents counts the events that a wait has returned.
@@ -44,6 +47,9 @@
 	d.events += count
 }
 
+// addHandler records the time that the handler of one event took.
+func (d *roundDelays) addHandler(tookMs float64) { d.longestEventMs = max(d.longestEventMs, tookMs) }
+
 // check reports the round of this wake-up if it is delayed.
 func (d *roundDelays) check(nowMs float64) {
 	delayMs := nowMs - d.beganAtMs
@@ -51,5 +57,5 @@
 		return
 	}
 	d.lastReportAtMs = nowMs
-	d.report(RoundDelay{DelayMs: delayMs, Polls: d.polls, Events: d.events})
+	d.report(RoundDelay{DelayMs: delayMs, Polls: d.polls, Events: d.events, LongestEventMs: d.longestEventMs})
 }
--- a/internal/transport/loop/stream.go
+++ b/internal/transport/loop/stream.go
@@ -10,6 +10,8 @@
 const (
 	// readBytes is the maximum size of one read.
 	readBytes = 16 << 10
+	// maxReads limits the reads of one Read, so that a peer that sends continuously does not block the loop.
+	maxReads = 16
 	// maxDiscardReads limits the reads of one DiscardInput, so that a peer that sends continuously does not block the
 	// loop.
 	maxDiscardReads = 4
@@ -46,10 +48,14 @@
 	return &Stream{FD: fd, loop: l, events: events}, nil
 }
 
-// Read appends the input that has arrived to In, until In holds limit bytes. eof reports that the peer has closed its
-// side and nothing is left to read. A reset is returned as an error; In then holds the input that arrived before it.
+// Read appends the input that has arrived to In, until In holds limit bytes and in at most maxReads reads; the loop
+// reports what is left as another event. eof reports that the peer has closed its side and nothing is left to read. A
+// reset is returned as an error; In then holds the input that arrived before it.
 func (s *Stream) Read(limit int) (eof bool, err error) {
-	for len(s.In) < limit {
+	for range maxReads {
+		if len(s.In) >= limit {
+			break
+		}
 		count, err := unix.Read(s.FD, readBuffer[:min(readBytes, limit-len(s.In))])
 		switch {
 		case count > 0:
