flight: the processes of an upgrade pass on the listener of the Flight front

What callers saw: the new process of an upgrade ended at once, address already in use. Cause: each process opened the Flight listener itself while the old one had it; the platform keeps only that of HTTP clients. Evidence: the error; with the Flight front off the same steps pass. Fix: an old process offers its listener by a Unix socket in the shared TMPDIR; both accept from one queue.

--- a/cmd/ternstage/broker.go
+++ b/cmd/ternstage/broker.go
@@ -10,6 +10,7 @@
 	"ternstage/internal/config"
 	"ternstage/internal/control/adminapi"
 	"ternstage/internal/control/adminops"
+	"ternstage/internal/control/listenerhandover"
 	"ternstage/internal/core"
 	"ternstage/internal/decision/endpointpoll"
 	"ternstage/internal/decision/shardmap"
@@ -42,7 +43,8 @@
 	core        *core.Core
 	limits      connectionLimits
 	front       *httpfront.Server
-	flightFront *flight.Front // nil if it is disabled
+	flightFront *flight.Front           // nil if it is disabled
+	flightOffer *listenerhandover.Offer // nil unless its listener is offered to a successor
 	transport   backendTransport
 	watcher     *discovery.Watcher
 	control     *adminops.Control // nil without an admin API
--- a/cmd/ternstage/flight.go
+++ b/cmd/ternstage/flight.go
@@ -2,9 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io/fs"
+	"net"
 	"os"
 
+	"go.uber.org/zap"
+
+	"ternstage/internal/control/listenerhandover"
 	"ternstage/internal/operator"
 	"ternstage/internal/transport/flight"
 )
@@ -46,10 +51,36 @@
 	if !b.features.flight.Enabled {
 		return nil
 	}
-	front, err := flight.Listen(b.features.flight, b.loop, b.core, b.config.Contracts, b.log)
+	listener, err := b.openFlightListener()
 	if err != nil {
-		return err
+		return fmt.Errorf("flight: %w", err)
 	}
-	b.flightFront = front
+	b.flightFront = flight.NewFront(listener, b.features.flight, b.loop, b.core, b.config.Contracts, b.log)
 	return nil
 }
+
+// openFlightListener opens the listener for Flight clients. The platform keeps only that of HTTP clients over an
+// upgrade. Where it does, the processes of the broker pass on the one for Flight among themselves.
+func (b *broker) openFlightListener() (*net.TCPListener, error) {
+	address := b.features.flight.Listen
+	if !b.inheritsListener() {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return listener.(*net.TCPListener), nil
+	}
+	listener, taken, err := listenerhandover.Listen(os.TempDir(), address)
+	if err != nil {
+		return nil, err
+	}
+	offer, err := listenerhandover.NewOffer(os.TempDir(), listener)
+	if err != nil {
+		b.log.Warn("Flight listener is not offered to a successor", zap.Error(err))
+		return listener, nil
+	}
+	b.flightOffer = offer
+	b.onClose(offer.Close)
+	b.log.Info("Flight listener is offered to a successor", zap.Bool("taken_over", taken))
+	return listener, nil
+}
--- a/cmd/ternstage/shutdown.go
+++ b/cmd/ternstage/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"ternstage/internal/control/adminops"
+	"ternstage/internal/control/listenerhandover"
 	"ternstage/internal/core"
 	"ternstage/internal/transport/flight"
 	"ternstage/internal/transport/httpfront"
@@ -51,8 +52,9 @@
 	loop        *loop.Loop
 	core        *core.Core
 	front       *httpfront.Server
-	flightFront *flight.Front     // nil if it is disabled or has stopped
-	control     *adminops.Control // nil without an admin API
+	flightFront *flight.Front           // nil if it is disabled or has stopped
+	flightOffer *listenerhandover.Offer // nil unless its listener is offered to a successor
+	control     *adminops.Control       // nil without an admin API
 	pollTimer   *loop.Timer
 
 	// longestDeadlineMs is the longest deadline of a class, but at most maxDeadlineMs. SIGKILL comes no earlier than
@@ -75,6 +77,7 @@
 		core:              b.core,
 		front:             b.front,
 		flightFront:       b.flightFront,
+		flightOffer:       b.flightOffer,
 		control:           b.control,
 		longestDeadlineMs: min(b.config.Contracts.LongestDeadline(), maxDeadlineMs),
 		acceptMs:          minAcceptMs,
@@ -135,11 +138,19 @@
 		s.front.CloseIdle()
 	}
 	if s.flightFront != nil && !s.flightStopping {
-		s.flightStopping = true
-		s.flightFront.Stop(func() { s.flightFront = nil })
+		s.stopFlight()
 	}
 }
 
+// stopFlight stops the Flight front. A successor may have its listener.
+func (s *gracefulShutdown) stopFlight() {
+	s.flightStopping = true
+	if s.flightOffer != nil {
+		s.flightOffer.Close()
+	}
+	s.flightFront.Stop(func() { s.flightFront = nil })
+}
+
 // isDone reports whether all requests are answered and all connections of clients are closed.
 func (s *gracefulShutdown) isDone(openConnections int) bool {
 	return s.core.OpenRequests() == 0 && s.flightFront == nil && openConnections == 0
--- a/internal/transport/flight/connection_log.go
+++ b/internal/transport/flight/connection_log.go
@@ -11,7 +11,10 @@
 
 // connectionLog logs one line for each client connection that ends. It implements stats.Handler; gRPC calls it from
 // its own goroutines.
-type connectionLog struct{ log *logs.Log }
+type connectionLog struct {
+	log      *logs.Log
+	listener *clientListener // learns which connections gRPC serves
+}
 
 // connectionKey is the context key of a connection's connectionState.
 type connectionKey struct{}
@@ -23,7 +26,8 @@
 }
 
 // TagConn implements stats.Handler.
-func (*connectionLog) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
+func (h *connectionLog) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
+	h.listener.setServed(info.RemoteAddr)
 	return context.WithValue(ctx, connectionKey{}, &connectionState{peer: info.RemoteAddr.String()})
 }
 
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/memory"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -48,38 +46,45 @@
 	contracts *contract.Contracts // used only on the loop
 	log       *logs.Log
 	server    *grpc.Server
+	listener  *clientListener
 }
 
-// Listen starts the front. If the address cannot be listened on, it returns an error that wraps the listener's. Stop
-// ends the goroutine that accepts connections.
-func Listen(config Config, loop Loop, queries Core, contracts *contract.Contracts, log *logs.Log) (*Front, error) {
-	front := &Front{loop: loop, core: queries, contracts: contracts, log: log}
-	listener, err := net.Listen("tcp", config.Listen)
-	if err != nil {
-		return nil, fmt.Errorf("flight: %w", err)
+// NewFront returns a front that serves on a listener, of which it takes ownership. Stop ends the goroutine that accepts
+// connections.
+func NewFront(listener *net.TCPListener, config Config, loop Loop, queries Core, contracts *contract.Contracts,
+	log *logs.Log) *Front {
+	front := &Front{
+		loop:      loop,
+		core:      queries,
+		contracts: contracts,
+		log:       log,
+		listener:  newClientListener(listener, config.MaxConnections),
 	}
 	front.server = grpc.NewServer(
 		grpc.MaxConcurrentStreams(uint32(config.StreamsPerConnection)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxHeaderListSize(maxMetadataBytes),
-		grpc.StatsHandler(&connectionLog{log: log}),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.StatsHandler(&connectionLog{log: log, listener: front.listener}),
 	)
 	flight.RegisterFlightServiceServer(front.server, front)
-	go front.serve(netutil.LimitListener(listener, config.MaxConnections))
-	return front, nil
+	go front.serve()
+	return front
 }
 
 // serve accepts connections until Stop is called or the listener fails.
-func (f *Front) serve(listener net.Listener) {
-	if err := f.server.Serve(listener); err != nil {
+func (f *Front) serve() {
+	if err := f.server.Serve(f.listener); err != nil {
 		f.log.Error("flight front: " + err.Error())
 	}
 }
 
 // Stop makes the front accept no new connections or calls, while the calls in flight continue. It does not wait for
-// them; done runs on the loop when the last call has ended.
+// them; done runs on the loop when the last call has ended. Connections that wait in the listener's queue are accepted
+// first.
 func (f *Front) Stop(done func()) {
 	go func() {
+		f.listener.stopAccepting()
 		f.server.GracefulStop()
 		f.loop.Post(done)
 	}()
--- a/internal/transport/flight/front_test.go
+++ b/internal/transport/flight/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -53,8 +54,9 @@
 	config := Config{Enabled: true, Listen: address}
 	config.Defaults()
 	contracts := contract.New([]contract.Class{{Name: "bind", DeadlineMs: 3000}}, nil, true)
-	front, err := Listen(config, newTestLoop(t), queries, contracts, newLog())
+	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
+	front := NewFront(listener.(*net.TCPListener), config, newTestLoop(t), queries, contracts, newLog())
 	t.Cleanup(front.server.Stop)
 	connection, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	require.NoError(t, err)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -208,6 +208,7 @@
 	stateDir       string   // its $TMPDIR, which holds the state files; a new directory if ""
 	listener       *os.File // the clients' listener, inherited as descriptor 5
 	listenAddr     string   // address of the listener
+	flightAddr     string   // address of the Flight front; a free one if ""
 	startsDrained  bool     // it starts draining: it is ready once the admin API reports so, while its health is 503
 	binary         string   // the binary to start; "" for the one that TestMain built
 
@@ -280,6 +281,9 @@
 	if o.listenAddr != "" {
 		httpAddr = o.listenAddr
 	}
+	if o.flightAddr != "" {
+		flightAddr = o.flightAddr
+	}
 	limits := map[string]any{"cores": 1, "memory_mb": max(o.memoryMB, 192), "sockets": 1024}
 	if o.maxDescriptors > 0 {
 		limits["sockets"] = o.maxDescriptors
