endpointpoll: a failed call after a silent watch is repeated within the drain grace

What callers saw: a draining backend got parts over 7.05 s after the watch fell silent. Cause: the time limits add up to 8.25 s at least: wait 3, allowance 2, spread 0.25, failing call 2, backoff 0.25, and the scheduler's half of the grace. Evidence: discovery's record of calls; no attempt followed a list late. Fix: a watch counts as silent 0.5 s after its wait; the next call is answered at once and limited to 2.5 s, and one failure of it is repeated without a backoff. No more calls: a watch and a prompt call that are both silent take two waits. TestPeriodAndTimeout expects 3.5 s in place of 5 s, which was part of the fault.

--- a/internal/decision/endpointpoll/timing.go
+++ b/internal/decision/endpointpoll/timing.go
@@ -19,9 +19,15 @@
 const (
 	// watchWaitMs is how long discovery may hold a watch open.
 	watchWaitMs = 3000.0
-	// responseAllowanceMs is the time for the response itself, in addition to watchWaitMs. The sum must stay below
-	// 6000 ms, after which a broker counts as notified of a change even if it did not read it.
-	responseAllowanceMs = 2000.0
+	// watchLatenessMs is how late the response to a watch may come after watchWaitMs. A later watch counts as silent.
+	watchLatenessMs = 500.0
+	// promptWaitMs is how long discovery may hold open the call that follows a silent watch. The response comes at once,
+	// so that a call that is silent as well can be told from a watch without changes.
+	promptWaitMs = 1.0
+	// promptTimeoutMs is the timeout of a call that is answered at once. Discovery fails calls that wait for longer than
+	// 2 s. A watch and such a call that both time out take two waits, so that an unresponsive service is called no more
+	// often than a healthy one.
+	promptTimeoutMs = 2*watchWaitMs - (watchWaitMs + watchLatenessMs)
 	// reopenSpreadMs is the interval over which the brokers of a fleet reopen watches that timed out. Each broker's
 	// offset follows from its index. Without it, one failed machine, which can time out the watches of all brokers at
 	// once, would make all of them call at once.
@@ -52,12 +58,12 @@
 	return min(max(o.DrainGrace*pollPeriodGraceRatio, minPeriodMs), maxPeriodMs)
 }
 
-// timeoutMs returns how long after its start a call without a response has failed.
+// timeoutMs returns how long after its start a call to an agent, or a watch, without a response has failed.
 func (o Options) timeoutMs() float64 {
 	if o.Pushed {
 		return max(o.periodMs()*callTimeoutGraceRatio/pollPeriodGraceRatio, 2*minPeriodMs)
 	}
-	return watchWaitMs + responseAllowanceMs
+	return watchWaitMs + watchLatenessMs
 }
 
 // reopenDelayMs returns the delay from the timeout of a watch to its next call.
--- a/internal/decision/endpointpoll/timing_test.go
+++ b/internal/decision/endpointpoll/timing_test.go
@@ -11,8 +11,8 @@
 		options             Options
 		periodMs, timeoutMs float64
 	}{
-		"polled":                     {Options{DrainGrace: 1000}, 100, 5000},
-		"polled without a grace":     {Options{}, 200, 5000},
+		"polled":                     {Options{DrainGrace: 1000}, 100, 3500},
+		"polled without a grace":     {Options{}, 200, 3500},
 		"pushed":                     {Options{Pushed: true, DrainGrace: 1000}, 100, 250},
 		"pushed without a grace":     {Options{Pushed: true}, 200, 500},
 		"pushed with a short grace":  {Options{Pushed: true, DrainGrace: 50}, 20, 50},
--- a/internal/transport/discovery/connection.go
+++ b/internal/transport/discovery/connection.go
@@ -25,6 +25,7 @@
 // beginCall starts the next call. It reuses the connection of the previous call if that is still open.
 func (w *Watcher) beginCall() {
 	call := w.poller.BeginCall(w.loop.Now())
+	w.callTimeoutMs = call.Timeout
 	w.inFlight = true
 	w.nextCallTimer.Stop()
 	if w.stream != nil {
@@ -102,7 +103,7 @@
 		return false
 	}
 	w.connected = true
-	w.callTimer.Set(w.loop.Now() + w.poller.Timeout())
+	w.callTimer.Set(w.loop.Now() + w.callTimeoutMs)
 	return true
 }
 
--- a/internal/transport/discovery/watcher.go
+++ b/internal/transport/discovery/watcher.go
@@ -43,6 +43,7 @@
 	watching      bool // the list is followed; cleared when the scheduler is notified of a failed call
 	inFlight      bool // a call has no response yet
 	callTimer     *loop.Timer
+	callTimeoutMs float64 // timeout of the call in flight, counted from when its connection is established
 	nextCallTimer *loop.Timer
 	unresponsive  bool // the last call failed, and that has been logged
 }
--- a/test/watch_test.go
+++ b/test/watch_test.go
@@ -98,10 +98,14 @@
 
 func contentLength(body string) string { return fmt.Sprintf("Content-Length: %d\r\n", len(body)) }
 
-// startWithList starts a program with a known list, as one of a number of brokers. It does not wait until it serves.
-func startWithList(t *testing.T, d *scriptedDiscovery, known endpointList, brokers int) *program {
+// startWithList starts a program with a known list, as one of a number of brokers, by default the first. It does not
+// wait until it serves.
+func startWithList(t *testing.T, d *scriptedDiscovery, known endpointList, brokers int, index ...int) *program {
 	s := settings()
 	s["balancers"] = brokers
+	for _, i := range index {
+		s["me"] = i
+	}
 	addr := freeAddress(t)
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": d.addr, "seed": "1",
 		"known": known, "settings": s})
