flight: limit the memory of calls and evict idle connections

What callers saw: 132 MB of 64 MB under 12 clients with 100 large requests each; no answer on new connections beside 200 silent ones. Cause: gRPC receives messages without a limit on their sum; silent connections were kept and others left in the queue. Fix: admission.go counts calls and bytes over all connections; beyond the limit reading waits for the loop, and incomplete messages beyond a share are rejected. At the limit idle connections are evicted. The build leaves out gRPC's trace pages (4 MB of text), and the shares of memory follow from what the text leaves. TestMaxClientBytes became TestDivideClientBytes with the same totals.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 .PHONY: build test lint try sites
 
 build:
-	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/... # linked dynamically, see deploy/balancer.toml
+	mkdir -p bin && CGO_ENABLED=1 go build -tags grpcnotrace -ldflags=-linkmode=external -o bin/ ./cmd/... # linked dynamically, see deploy/balancer.toml
 
 test:
 	go test -count=1 $${SKIP:+-skip "$$SKIP"} ./... # the program under test is built by the tests, which the cache does not see
--- a/cmd/ternstage/broker.go
+++ b/cmd/ternstage/broker.go
@@ -42,6 +42,7 @@
 	shardMap    *shardmap.Map // nil if the placement is fixed
 	core        *core.Core
 	limits      connectionLimits
+	clientBytes clientBytes
 	front       *httpfront.Server
 	flightFront *flight.Front           // nil if it is disabled
 	flightOffer *listenerhandover.Offer // nil unless its listener is offered to a successor
@@ -143,13 +144,17 @@
 	b.limits = divideDescriptors(allowedDescriptors(b.config.MaxDescriptors, b.log), b.config.AdminAddress != "",
 		b.features.flight.Enabled, b.features.flight.MaxConnections)
 	b.features.flight.MaxConnections = b.limits.flight
+	limitBytes := b.config.MemoryMB * bytesPerMB
+	b.clientBytes = divideClientBytes(limitBytes, heapLimitBytes(limitBytes, programTextBytes()),
+		b.features.flight.Enabled)
+	b.features.flight.MaxBufferedBytes = b.clientBytes.flight
 }
 
 // listenClients opens the HTTP front.
 func (b *broker) listenClients() error {
 	front, err := httpfront.NewServer(b.loop, b.core, b.config.Contracts, b.log, b.config.Listen, httpfront.Options{
 		MaxConnections:   b.limits.clients,
-		MaxBufferedBytes: maxClientBytes(b.config),
+		MaxBufferedBytes: b.clientBytes.http,
 		Pages:            b.pages(),
 		InheritedFD:      b.config.InheritedFD,
 	}, b.isReady)
--- a/cmd/ternstage/limits_test.go
+++ b/cmd/ternstage/limits_test.go
@@ -10,7 +10,6 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
-	"ternstage/internal/config"
 	"ternstage/internal/logs"
 )
 
@@ -50,7 +49,15 @@
 	assert.Equal(t, max(int(limit.Cur), minDescriptors), allowedDescriptors(int(limit.Cur)+1, log), "as the system allows")
 }
 
-func TestMaxClientBytes(t *testing.T) {
-	assert.Equal(t, 192<<20/6, maxClientBytes(&config.Config{MemoryMB: 192}))
-	assert.Equal(t, 4194304, maxClientBytes(&config.Config{MemoryMB: 24}))
+func TestDivideClientBytes(t *testing.T) {
+	assert.Equal(t, clientBytes{http: 192 << 20 / 6}, divideClientBytes(192<<20, 115<<20, false))
+	assert.Equal(t, clientBytes{http: 16 << 20, flight: 16 << 20}, divideClientBytes(192<<20, 115<<20, true))
+	assert.Equal(t, clientBytes{http: 2 << 20}, divideClientBytes(32<<20, 12<<20, false), "what the heap has")
+}
+
+func TestHeapLimit(t *testing.T) {
+	assert.EqualValues(t, 60<<20, heapLimitBytes(100<<20, 20<<20), "a share of the limit")
+	assert.EqualValues(t, 10<<20, heapLimitBytes(32<<20, 18<<20), "what the program's text leaves")
+	assert.EqualValues(t, minHeapBytes, heapLimitBytes(24<<20, 18<<20))
+	assert.Greater(t, programTextBytes(), 1<<20)
 }
--- a/internal/decision/endpointpoll/poller.go
+++ b/internal/decision/endpointpoll/poller.go
@@ -28,8 +28,9 @@
 //	 250  for the response of the call after that
 //	 500  until the scheduler stops sending: half of a drain grace of 1 s
 //
-// The sum is 7000, and the drain grace ends 7000 after the watch fell silent. A call that fails with an error takes 2000
-// at most and is followed by another within reopenSpreadMs. If a further call fails, the scheduler's backoff applies.
+// The sum is 7000, and the drain grace ends 7000 after the watch fell silent. A call that fails with an error takes
+// 2000 at most and is followed by another within reopenSpreadMs. If a further call fails, the scheduler's backoff
+// applies.
 type silence struct {
 	began      bool // a watch has timed out since the last response
 	promptNext bool // the next call is to be answered at once
--- a/internal/lab/product/product.go
+++ b/internal/lab/product/product.go
@@ -12,7 +12,7 @@
 // has the race detector.
 func Build(dir string) (string, error) {
 	path := filepath.Join(dir, "ternstage")
-	args := []string{"build", "-ldflags=-linkmode=external", "-o", path}
+	args := []string{"build", "-tags", "grpcnotrace", "-ldflags=-linkmode=external", "-o", path}
 	if os.Getenv("TERNSTAGE_RACE") != "" {
 		args = append(args, "-race")
 	}
--- a/internal/transport/flight/client_listener.go
+++ b/internal/transport/flight/client_listener.go
@@ -4,15 +4,23 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// handshakeTimeout is the time for a client to begin HTTP/2. After it gRPC closes the connection.
-const handshakeTimeout = 2 * time.Second
+const (
+	// handshakeTimeout is the time for a client to begin HTTP/2. After it gRPC closes the connection.
+	handshakeTimeout = 2 * time.Second
+	// minIdle is the time without input and calls after which a connection may be evicted.
+	minIdle = 100 * time.Millisecond
+	// evictionInterval is the interval at which a new connection looks for one to evict.
+	evictionInterval = 10 * time.Millisecond
+)
 
-// clientListener accepts the connections of clients for gRPC, up to a maximum number at a time.
+// clientListener accepts the connections of clients for gRPC, up to a maximum number at a time. At the maximum a new
+// connection evicts one on which no call is in progress.
 //
 // It ends in two steps, so that gRPC closes no accepted connection without a GOAWAY, after which a client knows which
 // calls it has to make anew. First stopAccepting closes the listener and waits until gRPC serves all accepted
@@ -20,6 +28,7 @@
 type clientListener struct {
 	tcp            *net.TCPListener
 	maxConnections int
+	admission      *admission
 
 	mu          sync.Mutex
 	changed     *sync.Cond // the fields below have changed
@@ -36,20 +45,29 @@
 type clientConnection struct {
 	net.Conn
 	listener *clientListener
+	input    connectionInput
 	served   bool // gRPC has begun to serve it; guarded by listener.mu
 }
 
 // newClientListener returns a listener that takes ownership of tcp.
-func newClientListener(tcp *net.TCPListener, maxConnections int) *clientListener {
-	l := &clientListener{tcp: tcp, maxConnections: maxConnections, connections: map[*clientConnection]struct{}{}}
+func newClientListener(tcp *net.TCPListener, maxConnections int, admission *admission) *clientListener {
+	l := &clientListener{
+		tcp:            tcp,
+		maxConnections: maxConnections,
+		admission:      admission,
+		connections:    map[*clientConnection]struct{}{},
+	}
 	l.changed = sync.NewCond(&l.mu)
 	return l
 }
 
-// Accept implements net.Listener. At the maximum number of connections it waits until one ends.
+// Accept implements net.Listener. At the maximum number of connections it evicts another, or waits until one ends or
+// can be evicted.
 func (l *clientListener) Accept() (net.Conn, error) {
-	l.waitForSlot()
 	connection, err := l.tcp.Accept()
+	if err == nil {
+		l.waitForSlot()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil && len(l.queued) > 0 {
@@ -69,28 +87,112 @@
 	return nil, err
 }
 
-// waitForSlot waits until a further connection may be accepted, or the listener ends.
+// waitForSlot waits until a further connection may be served, or the listener ends.
 func (l *clientListener) waitForSlot() {
+	for {
+		l.mu.Lock()
+		isFree := len(l.connections) < l.maxConnections || l.stopping
+		idlest := l.idlest()
+		l.mu.Unlock()
+		switch {
+		case isFree:
+			return
+		case idlest != nil:
+			_ = idlest.Close()
+		default:
+			l.rejectIncomplete()
+			time.Sleep(evictionInterval)
+		}
+	}
+}
+
+// rejectIncomplete rejects the calls of connections on which nothing but incomplete messages is in progress. These
+// connections are then evicted.
+func (l *clientListener) rejectIncomplete() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.connections) >= l.maxConnections && !l.stopping {
-		l.changed.Wait()
+	for connection := range l.connections {
+		connection.input.rejectIfIncomplete(minIdle)
+	}
+}
+
+// idlest returns the connection that has been idle for the longest time, or nil if none may be evicted. Those that have
+// never made a call come first. The caller must hold mu.
+func (l *clientListener) idlest() *clientConnection {
+	var found *clientConnection
+	for connection := range l.connections {
+		if connection.isIdle() && (found == nil || connection.isIdlerThan(found)) {
+			found = connection
+		}
 	}
+	return found
+}
+
+// isIdle reports whether the connection may be evicted: no call is in progress, no input has arrived for a time and
+// none waits to be read. A call in it would be lost, and the last answer may still be in transit. The rest of calls that
+// were rejected does not count.
+func (c *clientConnection) isIdle() bool {
+	calls, activeAt := c.input.activity()
+	if calls > 0 {
+		return false
+	}
+	return c.input.isRejected(minIdle) || time.Since(activeAt) > minIdle && !c.hasUnread()
+}
+
+// isIdlerThan reports whether the connection is evicted before another one.
+func (c *clientConnection) isIdlerThan(other *clientConnection) bool {
+	if c.input.hasMadeCalls() != other.input.hasMadeCalls() {
+		return !c.input.hasMadeCalls()
+	}
+	_, activeAt := c.input.activity()
+	_, otherActiveAt := other.input.activity()
+	return activeAt.Before(otherActiveAt)
+}
+
+// hasUnread reports whether input waits in the kernel.
+func (c *clientConnection) hasUnread() bool {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	connection, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	count := 0
+	_ = connection.Control(func(fd uintptr) {
+		var next [1]byte
+		count, _, _ = unix.Recvfrom(int(fd), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return count > 0
 }
 
 // add counts an accepted connection. The caller must hold mu.
 func (l *clientListener) add(connection net.Conn) *clientConnection {
-	counted := &clientConnection{Conn: connection, listener: l}
+	counted := &clientConnection{
+		Conn:     connection,
+		listener: l,
+		input:    connectionInput{admission: l.admission, activeAt: time.Now()},
+	}
 	l.connections[counted] = struct{}{}
 	return counted
 }
 
+// Read implements net.Conn. It waits until the admission lets the connection be read.
+func (c *clientConnection) Read(buffer []byte) (int, error) {
+	c.input.waitToRead()
+	count, err := c.Conn.Read(buffer[:min(len(buffer), readQuantumBytes)])
+	c.input.addRead(count)
+	return count, err
+}
+
 // Close closes the connection. A repeated call returns an error.
 func (c *clientConnection) Close() error {
 	c.listener.mu.Lock()
 	delete(c.listener.connections, c)
 	c.listener.changed.Broadcast()
 	c.listener.mu.Unlock()
+	c.input.close()
 	return c.Conn.Close()
 }
 
--- a/internal/transport/flight/client_wire.go
+++ b/internal/transport/flight/client_wire.go
@@ -38,6 +38,8 @@
 	maxTicketBytes = 64 << 10
 	// maxMessageBytes is the maximum size in bytes of a message: a ticket and the data that Flight adds to it.
 	maxMessageBytes = maxTicketBytes + 16<<10
+	// streamWindowBytes is the size in bytes of the window for flow control of a call, the smallest that gRPC supports.
+	streamWindowBytes = 64 << 10
 	// maxMetadataBytes is the maximum size in bytes of a call's metadata.
 	maxMetadataBytes = 16 << 10
 )
--- a/internal/transport/flight/config.go
+++ b/internal/transport/flight/config.go
@@ -27,6 +27,9 @@
 	// MaxConnections is the maximum number of client connections. Further ones wait in the listener's queue. The default
 	// is 128.
 	MaxConnections int `toml:"conns"`
+	// MaxBufferedBytes is the maximum size in bytes of the messages of clients that are buffered, with the calls in
+	// progress. It follows from the memory limit and is not read from a file.
+	MaxBufferedBytes int `toml:"-"`
 }
 
 // Defaults sets limits that are 0 to their defaults.
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -53,18 +53,25 @@
 // connections.
 func NewFront(listener *net.TCPListener, config Config, loop Loop, queries Core, contracts *contract.Contracts,
 	log *logs.Log) *Front {
+	maxConnections := min(config.MaxConnections, max(minConnections, config.MaxBufferedBytes/bytesPerConnection))
+	admission := newAdmission(config.MaxBufferedBytes, maxConnections)
 	front := &Front{
 		loop:      loop,
 		core:      queries,
 		contracts: contracts,
 		log:       log,
-		listener:  newClientListener(listener, config.MaxConnections),
+		listener:  newClientListener(listener, maxConnections, admission),
 	}
 	front.server = grpc.NewServer(
 		grpc.MaxConcurrentStreams(uint32(config.StreamsPerConnection)),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxHeaderListSize(maxMetadataBytes),
 		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.InTapHandle(admission.beginCall),
+		grpc.StreamInterceptor(admitStream),
+		// A static window keeps gRPC from receiving more of a message that it is not asked for.
+		grpc.StaticStreamWindowSize(streamWindowBytes),
+		grpc.ReadBufferSize(readQuantumBytes),
 		grpc.StatsHandler(&connectionLog{log: log, listener: front.listener}),
 	)
 	flight.RegisterFlightServiceServer(front.server, front)
@@ -126,7 +133,7 @@
 		answer:       make(chan core.Answer, 1),
 	}
 	f.loop.Post(func() {
-		f.loop.Enqueue(len(call.ticket), func() { call.submitResult <- call.submit(ctx) })
+		f.loop.Enqueue(len(call.ticket), func() { call.submitQueued(ctx) })
 	})
 	if err := <-call.submitResult; err != nil {
 		return invalidQueryStatus(err)
@@ -141,6 +148,15 @@
 	return sendAnswer(stream, answer)
 }
 
+// submitQueued submits the request to core and releases the ticket.
+func (c *clientCall) submitQueued(ctx context.Context) {
+	c.submitResult <- c.submit(ctx)
+	c.ticket = nil
+	if call := callOf(ctx); call != nil {
+		call.releaseMessage()
+	}
+}
+
 // submit submits the request to core. It runs on the loop. The time for which the call has waited for the loop counts
 // against the client's timeout.
 func (c *clientCall) submit(ctx context.Context) error {
--- a/internal/transport/flight/front_answer.go
+++ b/internal/transport/flight/front_answer.go
@@ -22,8 +22,12 @@
 	"ternstage/internal/core"
 )
 
-// minRetryDelayMs is the minimum RetryDelay of a rejected query, in milliseconds.
-const minRetryDelayMs = 1.0
+const (
+	// minRetryDelayMs is the minimum RetryDelay of a rejected query, in milliseconds.
+	minRetryDelayMs = 1.0
+	// overloadRetryDelayMs is the RetryDelay in milliseconds of a query that the front rejects for lack of memory.
+	overloadRetryDelayMs = 1000.0
+)
 
 // invalidQueryStatus returns the status of a query that was not submitted because of err. For a stale epoch the
 // status has an ErrorInfo with the epoch in use.
@@ -53,15 +57,19 @@
 	case answer.Kind == core.Answered:
 		return nil
 	case answer.Kind == core.Rejected:
-		delay := durationpb.New(fromMs(max(answer.RetryAfter, minRetryDelayMs)))
-		return statusWithDetail(codes.Unavailable, "refused: trying again is harmless",
-			&errdetails.RetryInfo{RetryDelay: delay})
+		return rejectedStatus(max(answer.RetryAfter, minRetryDelayMs))
 	case answer.TimedOut:
 		return status.Error(codes.DeadlineExceeded, "no answer in time; what was asked for may have been done")
 	}
 	return status.Error(codes.Internal, "failed; what was asked for may have been done")
 }
 
+// rejectedStatus returns the status of a query that was rejected and may be repeated after a delay in milliseconds.
+func rejectedStatus(retryDelayMs float64) error {
+	return statusWithDetail(codes.Unavailable, "refused: trying again is harmless",
+		&errdetails.RetryInfo{RetryDelay: durationpb.New(fromMs(retryDelayMs))})
+}
+
 // statusWithDetail returns a status with one detail. If the detail cannot be encoded, it is left out.
 func statusWithDetail(code codes.Code, message string, detail protoadapt.MessageV1) error {
 	plain := status.New(code, message)
--- a/internal/transport/flight/front_test.go
+++ b/internal/transport/flight/front_test.go
@@ -53,6 +53,7 @@
 	require.NoError(t, err)
 	config := Config{Enabled: true, Listen: address}
 	config.Defaults()
+	config.MaxBufferedBytes = 8 << 20
 	contracts := contract.New([]contract.Class{{Name: "bind", DeadlineMs: 3000}}, nil, true)
 	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -203,7 +204,7 @@
 	endpoints      []endpoint
 	flight         bool
 	maxDescriptors int
-	memoryMB       int
+	memoryMB       int      // 192 if 0
 	adminAPI       bool     // with the admin API
 	stateDir       string   // its $TMPDIR, which holds the state files; a new directory if ""
 	listener       *os.File // the clients' listener, inherited as descriptor 5
@@ -284,7 +285,7 @@
 	if o.flightAddr != "" {
 		flightAddr = o.flightAddr
 	}
-	limits := map[string]any{"cores": 1, "memory_mb": max(o.memoryMB, 192), "sockets": 1024}
+	limits := map[string]any{"cores": 1, "memory_mb": cmp.Or(o.memoryMB, 192), "sockets": 1024}
 	if o.maxDescriptors > 0 {
 		limits["sockets"] = o.maxDescriptors
 	}
