flight: the streams of a connection follow from the calls that memory suffices for

What callers saw: 35.2 to 35.8 MB of 32 MB, 5 to 24 of 79 usual queries served. Cause: 1,200 calls began at once and were rejected at once, and their clients began others. Fix: a connection may have a quarter of the calls for which memory suffices; its client holds the others back.

--- a/internal/transport/flight/admission.go
+++ b/internal/transport/flight/admission.go
@@ -21,6 +21,10 @@
 	bytesPerConnection = 32 << 10
 	// minConnections is the number of connections that are served however little memory there is.
 	minConnections = 32
+	// streamsDivisor divides the calls for which memory suffices; the quotient is for one connection.
+	streamsDivisor = 4
+	// minStreams is the number of calls at a time that a connection may have however little memory there is.
+	minStreams = 8
 	// readQuantumBytes is the maximum size in bytes of one read of a connection.
 	readQuantumBytes = 8 << 10
 	// receiveTimeout is the time for the message of a call to arrive, from the call's header. After it the call ends.
@@ -60,6 +64,12 @@
 	return a
 }
 
+// streamsPerConnection returns the maximum number of calls in progress on one connection: as configured, but no more
+// than a share of those for which memory suffices. A client holds further calls back.
+func (a *admission) streamsPerConnection(configured int) int {
+	return min(configured, max(minStreams, a.maxCalls/streamsDivisor))
+}
+
 // release releases bytes. The caller must hold the mutex.
 func (a *admission) release(count int) {
 	a.bytes -= count
--- a/internal/transport/flight/client_listener.go
+++ b/internal/transport/flight/client_listener.go
@@ -129,8 +129,8 @@
 }
 
 // isIdle reports whether the connection may be evicted: no call is in progress, no input has arrived for a time and
-// none waits to be read. A call in it would be lost, and the last answer may still be in transit. The rest of calls that
-// were rejected does not count.
+// none waits to be read. A call in it would be lost, and the last answer may still be in transit. What arrives of
+// rejected calls does not count.
 func (c *clientConnection) isIdle() bool {
 	calls, activeAt := c.input.activity()
 	if calls > 0 {
--- a/internal/transport/flight/front.go
+++ b/internal/transport/flight/front.go
@@ -63,7 +63,7 @@
 		listener:  newClientListener(listener, maxConnections, admission),
 	}
 	front.server = grpc.NewServer(
-		grpc.MaxConcurrentStreams(uint32(config.StreamsPerConnection)),
+		grpc.MaxConcurrentStreams(uint32(admission.streamsPerConnection(config.StreamsPerConnection))),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxHeaderListSize(maxMetadataBytes),
 		grpc.ConnectionTimeout(handshakeTimeout),
--- a/test/bad_clients_test.go
+++ b/test/bad_clients_test.go
@@ -357,3 +357,28 @@
 		})
 	}
 }
+
+// TestUnfinishedFlightCallIsRejected requires that a call whose message stays unfinished is answered as rejected within
+// the time that the platform allows for requests that stop half way.
+func TestUnfinishedFlightCallIsRejected(t *testing.T) {
+	const allowed = 3 * time.Second
+	p := start(t, options{endpoints: startBackends(t, protocols[1], nil).endpoints, flight: true})
+	connection, err := net.Dial("tcp", p.flightAddr)
+	require.NoError(t, err)
+	defer func() { _ = connection.Close() }()
+	require.NoError(t, connection.SetDeadline(time.Now().Add(allowed)))
+	_, err = io.WriteString(connection, unfinishedFlight(t, 0))
+	require.NoError(t, err)
+	framer := http2.NewFramer(io.Discard, connection)
+	framer.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	for {
+		frame, err := framer.ReadFrame()
+		require.NoError(t, err)
+		if headers, ok := frame.(*http2.MetaHeadersFrame); ok {
+			index := slices.IndexFunc(headers.Fields, func(f hpack.HeaderField) bool { return f.Name == "grpc-status" })
+			require.GreaterOrEqual(t, index, 0)
+			require.Equal(t, "14", headers.Fields[index].Value, "UNAVAILABLE: nothing has run")
+			return
+		}
+	}
+}
